--- /dev/null
+++ b/internal/dispatch/coordinator/snapshot.go
@@ -0,0 +1,56 @@
+package coordinator
+
+import (
+	"time"
+
+	"github.com/burdockrudder/burdockrudder/internal/dispatch/messenger"
+	"github.com/burdockrudder/burdockrudder/internal/settings/resolver"
+)
+
+// Snapshot is an immutable view of the state for the traffic goroutines. Nothing
+// in it may be changed after it was published.
+type Snapshot struct {
+	Incarnation messenger.Incarnation `json:"incarnation"`
+	// LifeCycle is starting, active, suspended, draining or stopped.
+	LifeCycle           string         `json:"life_cycle"`
+	SettingsVersion     uint64         `json:"settings_version"`
+	SettingsConfirmedAt time.Time      `json:"settings_confirmed_at"`
+	Tree                *resolver.Tree `json:"-"`
+	Endpoints           []EndpointView `json:"endpoints"`
+	Directory           []EntryRow     `json:"directory"`
+	LiveSubmissions     int            `json:"live_submissions"`
+	WaitingTasks        int            `json:"waiting_tasks"`
+	SentTasks           int            `json:"sent_tasks"`
+	Counters            Counters       `json:"counters"`
+}
+
+// EndpointView is what an entry knows of an endpoint.
+type EndpointView struct {
+	Name            string                 `json:"name"`
+	Incarnation     messenger.Incarnation  `json:"incarnation"`
+	Scope           resolver.Scope         `json:"scope"`
+	Load            messenger.EndpointLoad `json:"load"`
+	Outstanding     int                    `json:"outstanding"`
+	State           string                 `json:"state"`
+	SettingsVersion uint64                 `json:"settings_version"`
+	// HeardAt is when the agent's last message arrived.
+	HeardAt time.Time `json:"heard_at"`
+}
+
+// Counters count since the start of the incarnation.
+type Counters struct {
+	Submitted     uint64 `json:"submitted"`
+	Complete      uint64 `json:"complete"`
+	Failed        uint64 `json:"failed"`
+	Refused       uint64 `json:"refused"`
+	Starts        uint64 `json:"starts"`
+	StartsAgain   uint64 `json:"starts_again"`
+	RefusedStarts uint64 `json:"refused_starts"`
+	Cancels       uint64 `json:"cancels"`
+	Retries       uint64 `json:"retries"`
+	Hedges        uint64 `json:"hedges"`
+	Takeovers     uint64 `json:"takeovers"`
+	Forwards      uint64 `json:"forwards"`
+	Ejections     uint64 `json:"ejections"`
+	WitnessCalls  uint64 `json:"witness_calls"`
+}
--- /dev/null
+++ b/internal/dispatch/gatekeeper/events.go
@@ -0,0 +1,99 @@
+package gatekeeper
+
+import (
+	"time"
+
+	"github.com/burdockrudder/burdockrudder/internal/dispatch/messenger"
+)
+
+// Event is sealed: only the types of this file implement it.
+type Event interface{ event() }
+
+// Tick lets time-driven decisions happen: reports, expiry of records.
+type Tick struct{}
+
+// EntryLinked reports a new link to an entry, the first or a replacement.
+type EntryLinked struct {
+	Entry messenger.Incarnation `json:"entry"`
+}
+
+// EntryUnlinked reports that the link to an entry has ended.
+type EntryUnlinked struct {
+	Entry messenger.Incarnation `json:"entry"`
+}
+
+// Received is a message from an entry.
+type Received struct {
+	From    messenger.Incarnation
+	Message messenger.Message
+}
+
+// EndpointAnnounced reports what the endpoint offers; it is renewed regularly.
+type EndpointAnnounced struct {
+	Service string   `json:"service"`
+	Slots   int      `json:"slots"`
+	Labels  []string `json:"labels,omitempty"`
+}
+
+// EndpointDeparting reports that the endpoint leaves: nothing new goes to it.
+type EndpointDeparting struct{}
+
+// Invoked reports that the endpoint has answered, or that its reply was lost.
+type Invoked struct {
+	Task    messenger.TaskKey     `json:"task"`
+	Attempt int                   `json:"attempt"`
+	Outcome messenger.TaskOutcome `json:"outcome"`
+	RunTime time.Duration         `json:"run_time"`
+}
+
+// DrainRequested starts a graceful stop of the agent. Drained follows.
+type DrainRequested struct{}
+
+func (Tick) event()              {}
+func (EntryLinked) event()       {}
+func (EntryUnlinked) event()     {}
+func (Received) event()          {}
+func (EndpointAnnounced) event() {}
+func (EndpointDeparting) event() {}
+func (Invoked) event()           {}
+func (DrainRequested) event()    {}
+
+// Effect is sealed: only the types of this file implement it.
+type Effect interface{ effect() }
+
+// Send sends a message over the link to an entry. It is dropped if there is none.
+type Send struct {
+	To      messenger.Incarnation
+	Message messenger.Message
+}
+
+// Invoke starts a task at the endpoint. Invoked follows exactly once.
+type Invoke struct {
+	Task     messenger.TaskKey `json:"task"`
+	Attempt  int               `json:"attempt"`
+	Payload  []byte            `json:"payload,omitempty"`
+	TimeLeft time.Duration     `json:"time_left"`
+}
+
+// DirectoryChanged lists the entries to link to.
+type DirectoryChanged struct {
+	Directory []messenger.EntryAddress `json:"directory"`
+}
+
+// Decision is logged for each start and each refusal.
+type Decision struct {
+	Task    messenger.TaskKey       `json:"task"`
+	Attempt int                     `json:"attempt"`
+	Owner   messenger.Incarnation   `json:"owner"`
+	Started bool                    `json:"started"`
+	Reason  messenger.RefusalReason `json:"reason,omitempty"`
+}
+
+// Drained says that the graceful stop is complete.
+type Drained struct{}
+
+func (Send) effect()             {}
+func (Invoke) effect()           {}
+func (DirectoryChanged) effect() {}
+func (Decision) effect()         {}
+func (Drained) effect()          {}
--- /dev/null
+++ b/internal/dispatch/messenger/endpoint.go
@@ -0,0 +1,43 @@
+package messenger
+
+import "time"
+
+// EndpointLoad is an agent's view of its endpoint.
+type EndpointLoad struct {
+	Service  string   `json:"service,omitempty"`
+	Slots    int      `json:"slots"`
+	Running  int      `json:"running"`
+	Queued   int      `json:"queued,omitempty"`
+	Draining bool     `json:"draining,omitempty"`
+	Labels   []string `json:"labels,omitempty"`
+}
+
+// DomainState says whether tasks may start in a failure domain.
+type DomainState string
+
+// The states of a failure domain.
+const (
+	DomainIn  DomainState = "in"
+	DomainOut DomainState = "out"
+)
+
+// AgentSettings are the resolved settings that an agent enforces.
+type AgentSettings struct {
+	Version uint64      `json:"version"`
+	State   DomainState `json:"state"`
+	// QueueLimit is how many tasks may wait at the agent beyond the running ones.
+	QueueLimit int `json:"queue_limit"`
+	// SettingsLease is the age of the youngest confirmation beyond which nothing starts.
+	SettingsLease time.Duration `json:"settings_lease"`
+	// StartFreshness bounds the age of the report that a start echoes.
+	StartFreshness time.Duration `json:"start_freshness"`
+	// RecordHorizon is how long start records and tombstones are kept.
+	RecordHorizon time.Duration `json:"record_horizon"`
+}
+
+// EntryAddress tells where an entry listens for links.
+type EntryAddress struct {
+	Name        string      `json:"name"`
+	Incarnation Incarnation `json:"incarnation"`
+	Address     string      `json:"address"`
+}
--- /dev/null
+++ b/internal/settings/resolver/resolved.go
@@ -0,0 +1,171 @@
+package resolver
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/burdockrudder/burdockrudder/internal/dispatch/messenger"
+)
+
+// Duration is a time.Duration written as a string such as "3s" or "250ms".
+type Duration time.Duration
+
+// MarshalText writes the duration with its unit.
+func (d Duration) MarshalText() ([]byte, error) {
+	return []byte(time.Duration(d).String()), nil
+}
+
+// UnmarshalText reads a duration with its unit.
+func (d *Duration) UnmarshalText(text []byte) error {
+	parsed, err := time.ParseDuration(string(text))
+	if err != nil {
+		return fmt.Errorf("not a duration with a unit, such as 250ms: %q", text)
+	}
+	*d = Duration(parsed)
+	return nil
+}
+
+// Overrides are the settings of one level. A nil field is inherited.
+type Overrides struct {
+	State           *messenger.DomainState `json:"state,omitempty"`
+	MaxTasks        *int                   `json:"max_tasks,omitempty"`
+	MaxPayloadBytes *int                   `json:"max_payload_bytes,omitempty"`
+	DefaultDeadline *Duration              `json:"default_deadline,omitempty"`
+	MaxDeadline     *Duration              `json:"max_deadline,omitempty"`
+	QueueLimit      *int                   `json:"queue_limit,omitempty"`
+	EjectAfter      *int                   `json:"eject_after,omitempty"`
+	EjectFor        *Duration              `json:"eject_for,omitempty"`
+	RampUp          *Duration              `json:"ramp_up,omitempty"`
+	RetryBudget     *float64               `json:"retry_budget,omitempty"`
+	HedgeAfter      *Duration              `json:"hedge_after,omitempty"`
+	LogDecisions    *float64               `json:"log_decisions,omitempty"`
+}
+
+// Resolved are the settings in force for a service in a failure domain.
+type Resolved struct {
+	// State says whether tasks may start here.
+	State messenger.DomainState `json:"state"`
+	// MaxTasks bounds the tasks of one job.
+	MaxTasks int `json:"max_tasks"`
+	// MaxPayloadBytes bounds the payload of one task.
+	MaxPayloadBytes int `json:"max_payload_bytes"`
+	// DefaultDeadline applies to submissions that name none.
+	DefaultDeadline Duration `json:"default_deadline"`
+	// MaxDeadline bounds the deadline of a submission. Agents keep start records
+	// for longer than this.
+	MaxDeadline Duration `json:"max_deadline"`
+	// QueueLimit is how many tasks may wait at an agent beyond the running ones.
+	QueueLimit int `json:"queue_limit"`
+	// EjectAfter is the number of failures in a row after which an endpoint is ejected.
+	EjectAfter int `json:"eject_after"`
+	// EjectFor is the first ejection time; it doubles up to one minute.
+	EjectFor Duration `json:"eject_for"`
+	// RampUp is how long an endpoint that comes back takes to reach its full share.
+	RampUp Duration `json:"ramp_up"`
+	// RetryBudget is the share of extra starts that repeatable requests may cause.
+	RetryBudget float64 `json:"retry_budget"`
+	// HedgeAfter is the wait before a second copy of a repeatable request; 0 turns hedging off.
+	HedgeAfter Duration `json:"hedge_after"`
+	// LogDecisions is the share of placement decisions that are logged, from 0 to 1.
+	LogDecisions float64 `json:"log_decisions"`
+}
+
+// Defaults returns the settings that apply where no level overrides them.
+func Defaults() Resolved {
+	return Resolved{
+		State:           messenger.DomainIn,
+		MaxTasks:        210,
+		MaxPayloadBytes: 256 << 10,
+		DefaultDeadline: Duration(30 * time.Second),
+		MaxDeadline:     Duration(5 * time.Minute),
+		QueueLimit:      2,
+		EjectAfter:      5,
+		EjectFor:        Duration(2 * time.Second),
+		RampUp:          Duration(time.Second),
+		RetryBudget:     0.1,
+		HedgeAfter:      0,
+		LogDecisions:    1,
+	}
+}
+
+// Apply returns r with the overrides of one level applied.
+func (r Resolved) Apply(o Overrides) Resolved {
+	override(&r.State, o.State)
+	override(&r.MaxTasks, o.MaxTasks)
+	override(&r.MaxPayloadBytes, o.MaxPayloadBytes)
+	override(&r.DefaultDeadline, o.DefaultDeadline)
+	override(&r.MaxDeadline, o.MaxDeadline)
+	override(&r.QueueLimit, o.QueueLimit)
+	override(&r.EjectAfter, o.EjectAfter)
+	override(&r.EjectFor, o.EjectFor)
+	override(&r.RampUp, o.RampUp)
+	override(&r.RetryBudget, o.RetryBudget)
+	override(&r.HedgeAfter, o.HedgeAfter)
+	override(&r.LogDecisions, o.LogDecisions)
+	return r
+}
+
+func override[T any](target, value *T) {
+	if value != nil {
+		*target = *value
+	}
+}
+
+// Scope names a leaf of the tree.
+type Scope struct {
+	Firm          string `json:"firm"`
+	Place         string `json:"place"`
+	FailureDomain string `json:"failure_domain"`
+	Service       string `json:"service"`
+}
+
+// Resolve returns the settings in force at a leaf, and false if the tree does
+// not declare it.
+func (t Tree) Resolve(s Scope) (Resolved, bool) {
+	firm, ok := t.Firms[s.Firm]
+	if !ok {
+		return Resolved{}, false
+	}
+	place, ok := firm.Places[s.Place]
+	if !ok {
+		return Resolved{}, false
+	}
+	domain, ok := place.FailureDomains[s.FailureDomain]
+	if !ok {
+		return Resolved{}, false
+	}
+	service, ok := domain.Services[s.Service]
+	if !ok {
+		return Resolved{}, false
+	}
+	r := Defaults().Apply(firm.Settings).Apply(place.Settings)
+	return r.Apply(domain.Settings).Apply(service.Settings), true
+}
+
+// ResolveAdmission returns the settings that bound a submission to a service
+// before its failure domains are known: the strictest over all of them. It
+// returns false if no failure domain of the firm declares the service.
+func (t Tree) ResolveAdmission(firm, service string) (Resolved, bool) {
+	var strictest Resolved
+	found := false
+	for placeName, place := range t.Firms[firm].Places {
+		for domainName := range place.FailureDomains {
+			r, ok := t.Resolve(Scope{firm, placeName, domainName, service})
+			if !ok {
+				continue
+			}
+			if !found {
+				strictest, found = r, true
+				continue
+			}
+			strictest.MaxTasks = min(strictest.MaxTasks, r.MaxTasks)
+			strictest.MaxPayloadBytes = min(strictest.MaxPayloadBytes, r.MaxPayloadBytes)
+			strictest.DefaultDeadline = min(strictest.DefaultDeadline, r.DefaultDeadline)
+			strictest.MaxDeadline = min(strictest.MaxDeadline, r.MaxDeadline)
+			strictest.RetryBudget = min(strictest.RetryBudget, r.RetryBudget)
+			strictest.HedgeAfter = max(strictest.HedgeAfter, r.HedgeAfter)
+			strictest.LogDecisions = max(strictest.LogDecisions, r.LogDecisions)
+		}
+	}
+	return strictest, found
+}
