Add the endpoint index and the waiting queue

The coordinator needs a placement decision and a queue order without I/O. Before, neither package existed.

Speed and placement quality are not measured yet.

--- /dev/null
+++ b/internal/dispatch/limiter/heaps.go
@@ -0,0 +1,76 @@
+package limiter
+
+// backlog orders the tasks of one team by arrival of the job, then task index.
+type backlog []*entry
+
+func earlier(a, b *entry) bool {
+	if a.Arrival != b.Arrival {
+		return a.Arrival < b.Arrival
+	}
+	if a.Task.Index != b.Task.Index {
+		return a.Task.Index < b.Task.Index
+	}
+	return a.Task.Submission.ID < b.Task.Submission.ID
+}
+
+func (h backlog) Len() int           { return len(h) }
+func (h backlog) Less(i, j int) bool { return earlier(h[i], h[j]) }
+func (h backlog) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].at, h[j].at = i, j
+}
+
+// Push implements heap.Interface.
+func (h *backlog) Push(v any) {
+	e := v.(*entry)
+	e.at = len(*h)
+	*h = append(*h, e)
+}
+
+// Pop implements heap.Interface.
+func (h *backlog) Pop() any {
+	last := len(*h) - 1
+	e := (*h)[last]
+	(*h)[last] = nil
+	*h = (*h)[:last]
+	return e
+}
+
+// promotions orders the tasks of one level by the time at which they rise.
+type promotions []*entry
+
+func (h promotions) Len() int { return len(h) }
+func (h promotions) Less(i, j int) bool {
+	a, b := h[i].rises(), h[j].rises()
+	if a != b {
+		return a < b
+	}
+	return earlier(h[i], h[j])
+}
+func (h promotions) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].rise, h[j].rise = i, j
+}
+
+// Push implements heap.Interface.
+func (h *promotions) Push(v any) {
+	e := v.(*entry)
+	e.rise = len(*h)
+	*h = append(*h, e)
+}
+
+// Pop implements heap.Interface.
+func (h *promotions) Pop() any {
+	last := len(*h) - 1
+	e := (*h)[last]
+	(*h)[last] = nil
+	*h = (*h)[:last]
+	return e
+}
+
+// rises returns the time at which the task leaves its level. Tasks of one level
+// may have had different priorities, so the wait alone does not order them.
+func (e *entry) rises() int64 {
+	steps := e.level + 1 - clamp(e.Priority)
+	return e.Enqueued.UnixNano() + int64(steps)*int64(riseAfter)
+}
--- /dev/null
+++ b/internal/dispatch/limiter/queue.go
@@ -0,0 +1,228 @@
+package limiter
+
+import (
+	"container/heap"
+	"math/rand/v2"
+	"time"
+
+	"github.com/burdockrudder/burdockrudder/internal/dispatch/messenger"
+)
+
+// riseAfter is the wait after which a task rises by one priority. A task of low
+// priority thus competes with fresh tasks of high priority after 4 s.
+const riseAfter = 2 * time.Second
+
+const levels = int(messenger.PriorityHigh) + 1
+
+// Item is one waiting task.
+type Item struct {
+	Task     messenger.TaskKey
+	Attempt  int
+	Team     string
+	Priority messenger.Priority
+	// Enqueued is when the wait of the task began.
+	Enqueued time.Time
+	// Arrival is the place of the job in the order of admission.
+	Arrival  uint64
+	Declared time.Duration
+}
+
+// Queue holds the waiting tasks of one class: one firm, service and label set.
+// The order is priority with ageing, then weighted fair share among teams, then
+// arrival of the job, then task index. Teams at their running limit are passed over.
+type Queue struct {
+	firm    string
+	teams   *Teams
+	levels  [levels]level
+	entries map[messenger.TaskKey]*entry
+	lines   map[string]*line
+	// virtual is the virtual time: the start tag of the task served last.
+	virtual float64
+}
+
+// entry is an item with its place in the heaps.
+type entry struct {
+	Item
+	level int
+	line  *line
+	// at is the position in the backlog, rise in the level's heap of promotions.
+	at, rise int
+}
+
+// line is the state of one team in this queue.
+type line struct {
+	account *account
+	// start is the virtual time at which the team's next task is due.
+	start float64
+	// backlog is ordered by arrival, per level.
+	backlog [levels]backlog
+	waiting int
+	// active is the position in the level's list of teams, or -1.
+	active [levels]int
+}
+
+// level holds the teams with waiting tasks of one effective priority.
+type level struct {
+	active     []*line
+	promotions promotions
+}
+
+// NewQueue returns an empty queue of a firm. Teams may be shared among queues.
+func NewQueue(firm string, teams *Teams) *Queue {
+	return &Queue{
+		firm:    firm,
+		teams:   teams,
+		entries: make(map[messenger.TaskKey]*entry),
+		lines:   make(map[string]*line),
+	}
+}
+
+// Len returns the number of waiting tasks.
+func (q *Queue) Len() int { return len(q.entries) }
+
+// Push adds a task. A task that already waits is replaced.
+func (q *Queue) Push(now time.Time, item Item) {
+	q.Remove(item.Task)
+	e := &entry{Item: item, line: q.line(item.Team)}
+	if e.line.waiting == 0 {
+		// An idle team starts at the present virtual time: it does not hoard credit.
+		e.line.start = max(e.line.start, q.virtual)
+	}
+	e.line.waiting++
+	e.line.account.waiting++
+	q.entries[item.Task] = e
+	q.insert(e, effective(now, item))
+}
+
+// Peek returns the task that is due, and false if none may start. Ties are
+// broken by arrival, so the random source is not used.
+func (q *Queue) Peek(now time.Time, _ *rand.Rand) (Item, bool) {
+	e := q.next(now)
+	if e == nil {
+		return Item{}, false
+	}
+	return e.Item, true
+}
+
+// Pop removes and returns the task that Peek returns. The caller reports the
+// start with Teams.Started.
+func (q *Queue) Pop(now time.Time, _ *rand.Rand) (Item, bool) {
+	e := q.next(now)
+	if e == nil {
+		return Item{}, false
+	}
+	q.virtual = max(q.virtual, e.line.start)
+	e.line.start += 1 / e.line.account.weight()
+	q.delete(e)
+	return e.Item, true
+}
+
+// Remove takes a task out, and returns false if it does not wait.
+func (q *Queue) Remove(task messenger.TaskKey) bool {
+	e, waits := q.entries[task]
+	if waits {
+		q.delete(e)
+	}
+	return waits
+}
+
+func (q *Queue) line(team string) *line {
+	l, known := q.lines[team]
+	if !known {
+		l = &line{account: q.teams.account(q.firm, team), start: q.virtual}
+		q.lines[team] = l
+	}
+	return l
+}
+
+func (q *Queue) delete(e *entry) {
+	q.extract(e)
+	delete(q.entries, e.Task)
+	e.line.account.waiting--
+	e.line.waiting--
+}
+
+// effective returns the priority of a task after ageing.
+func effective(now time.Time, item Item) int {
+	risen := int(max(0, now.Sub(item.Enqueued)) / riseAfter)
+	return min(clamp(item.Priority)+risen, levels-1)
+}
+
+func clamp(p messenger.Priority) int {
+	return min(max(int(p), 0), levels-1)
+}
+
+func (q *Queue) insert(e *entry, to int) {
+	e.level = to
+	l := &q.levels[to]
+	b := &e.line.backlog[to]
+	if b.Len() == 0 {
+		e.line.active[to] = len(l.active)
+		l.active = append(l.active, e.line)
+	}
+	heap.Push(b, e)
+	if to < levels-1 {
+		heap.Push(&l.promotions, e)
+	}
+}
+
+func (q *Queue) extract(e *entry) {
+	l := &q.levels[e.level]
+	b := &e.line.backlog[e.level]
+	heap.Remove(b, e.at)
+	if e.level < levels-1 {
+		heap.Remove(&l.promotions, e.rise)
+	}
+	if b.Len() > 0 {
+		return
+	}
+	at, last := e.line.active[e.level], len(l.active)-1
+	l.active[at] = l.active[last]
+	l.active[at].active[e.level] = at
+	l.active[last] = nil
+	l.active = l.active[:last]
+}
+
+// promote moves the tasks that have waited long enough to their new level.
+func (q *Queue) promote(now time.Time) {
+	for i := range levels - 1 {
+		due := &q.levels[i].promotions
+		for due.Len() > 0 && effective(now, (*due)[0].Item) > i {
+			e := (*due)[0]
+			q.extract(e)
+			q.insert(e, effective(now, e.Item))
+		}
+	}
+}
+
+func (q *Queue) next(now time.Time) *entry {
+	q.promote(now)
+	for i := levels - 1; i >= 0; i-- {
+		if l := q.levels[i].first(i); l != nil {
+			return l.backlog[i][0]
+		}
+	}
+	return nil
+}
+
+// first returns the team that is due. Teams are few, so a scan over those with
+// waiting tasks costs less than a heap that must skip teams at their limit.
+func (l *level) first(at int) *line {
+	var first *line
+	for _, candidate := range l.active {
+		if !candidate.account.mayStart() {
+			continue
+		}
+		if first == nil || candidate.before(first, at) {
+			first = candidate
+		}
+	}
+	return first
+}
+
+func (l *line) before(other *line, at int) bool {
+	if l.start != other.start {
+		return l.start < other.start
+	}
+	return earlier(l.backlog[at][0], other.backlog[at][0])
+}
--- /dev/null
+++ b/internal/dispatch/limiter/teams.go
@@ -0,0 +1,78 @@
+package limiter
+
+import "github.com/burdockrudder/burdockrudder/internal/settings/resolver"
+
+// Teams holds the quotas and the use of all teams at one entry. A team without
+// settings has weight 1 and no limits.
+type Teams struct {
+	accounts map[teamKey]*account
+}
+
+type teamKey struct{ firm, team string }
+
+// account is the quota and use of one team. Queues hold pointers to accounts.
+type account struct {
+	quota            resolver.Team
+	running, waiting int
+}
+
+// NewTeams returns quotas for no team yet.
+func NewTeams() *Teams {
+	return &Teams{accounts: make(map[teamKey]*account)}
+}
+
+// Set puts the settings of a team in force. Running tasks above a lowered limit
+// finish; none is started until the team is below it.
+func (t *Teams) Set(firm, team string, quota resolver.Team) {
+	t.account(firm, team).quota = quota
+}
+
+// MayStart reports whether the team is below its limit of running tasks.
+func (t *Teams) MayStart(firm, team string) bool {
+	return t.account(firm, team).mayStart()
+}
+
+// MayWait reports whether the team may let that many more tasks wait.
+func (t *Teams) MayWait(firm, team string, tasks int) bool {
+	a := t.account(firm, team)
+	return a.quota.MaxWaitingTasks <= 0 || a.waiting+tasks <= a.quota.MaxWaitingTasks
+}
+
+// Started records that a task of the team was sent.
+func (t *Teams) Started(firm, team string) {
+	t.account(firm, team).running++
+}
+
+// Ended records that a task of the team is no longer outstanding.
+func (t *Teams) Ended(firm, team string) {
+	a := t.account(firm, team)
+	a.running = max(0, a.running-1)
+}
+
+// Running returns the number of the team's tasks that have been sent and have not ended.
+func (t *Teams) Running(firm, team string) int {
+	return t.account(firm, team).running
+}
+
+// Waiting returns the number of the team's tasks in all queues.
+func (t *Teams) Waiting(firm, team string) int {
+	return t.account(firm, team).waiting
+}
+
+func (t *Teams) account(firm, team string) *account {
+	key := teamKey{firm, team}
+	a, known := t.accounts[key]
+	if !known {
+		a = &account{}
+		t.accounts[key] = a
+	}
+	return a
+}
+
+func (a *account) mayStart() bool {
+	return a.quota.MaxRunningTasks <= 0 || a.running < a.quota.MaxRunningTasks
+}
+
+func (a *account) weight() float64 {
+	return float64(max(1, a.quota.Weight))
+}
--- /dev/null
+++ b/internal/dispatch/placer/choose.go
@@ -0,0 +1,174 @@
+package placer
+
+import (
+	"math"
+	"math/rand/v2"
+	"time"
+)
+
+const (
+	// compareAll is the number of free endpoints up to which all are compared.
+	compareAll = 16
+	// sampleSize is the number of endpoints compared otherwise.
+	sampleSize = 8
+)
+
+// Query asks for an endpoint for one task.
+type Query struct {
+	Firm, Service string
+	Labels        []string
+	Declared      time.Duration
+	// Avoid names an endpoint to use only if no other of the class is open.
+	Avoid string
+	// Urgent tasks are not used to probe an ejected endpoint.
+	Urgent bool
+	// Waiting is the number of tasks of the class that wait behind this one.
+	// While others wait, slots of slow endpoints are less likely to be left unused.
+	Waiting int
+}
+
+// Choice is a placement decision with what a log line needs.
+type Choice struct {
+	Endpoint   string
+	Reason     string
+	RunnerUp   string
+	Considered int
+}
+
+// The reasons of a choice.
+const (
+	ReasonOnly        = "only_candidate"
+	ReasonLeastFinish = "least_expected_finish"
+	ReasonProbe       = "probe"
+)
+
+// Policy holds the options of Choose.
+type Policy struct {
+	// HoldBack leaves the slot of a slow endpoint unused if waiting for a faster
+	// one is expected to finish earlier. The caller asks again when a task
+	// returns, or after a short time.
+	HoldBack bool
+	// Margin is how many times later the slow endpoint must be expected to finish.
+	Margin float64
+}
+
+// DefaultPolicy returns the options that New sets.
+func DefaultPolicy() Policy {
+	return Policy{HoldBack: false, Margin: 1.2}
+}
+
+// Choose returns the endpoint with the least expected finish among those with a
+// slot thought free. It returns false if the task should wait.
+func (x *Index) Choose(now time.Time, r *rand.Rand, q Query) (Choice, bool) {
+	x.advance(now)
+	p := x.pools[poolKey{q.Firm, q.Service}]
+	if p == nil {
+		return Choice{}, false
+	}
+	c := p.class(q.Labels)
+	if c == nil || len(c.free) == 0 {
+		return Choice{}, false
+	}
+	s := selection{query: &q, avoid: c.avoids(q.Avoid)}
+	s.compare(r, c)
+	if s.best == nil {
+		return Choice{}, false
+	}
+	if x.Policy.HoldBack && x.worthWaiting(now, r, c, &s) {
+		return Choice{}, false
+	}
+	return s.choice(), true
+}
+
+// avoids reports whether the class has an open endpoint other than the named.
+func (c *class) avoids(name string) bool {
+	if name == "" {
+		return false
+	}
+	if c.open > 1 {
+		return true
+	}
+	for _, m := range c.members {
+		if m.Name == name {
+			return !m.open && c.open == 1
+		}
+	}
+	return true
+}
+
+// selection keeps the two best candidates seen.
+type selection struct {
+	query                *Query
+	avoid                bool
+	best, second         *member
+	bestCost, secondCost float64
+	considered           int
+}
+
+func (s *selection) compare(r *rand.Rand, c *class) {
+	if len(c.free) <= compareAll {
+		for i := range c.free {
+			s.consider(c.free[i].member)
+		}
+		return
+	}
+	var seen [sampleSize]int
+	for n := range sampleSize {
+		at := r.IntN(len(c.free))
+		seen[n] = at
+		if !contains(seen[:n], at) {
+			s.consider(c.free[at].member)
+		}
+	}
+}
+
+func contains(seen []int, at int) bool {
+	for _, v := range seen {
+		if v == at {
+			return true
+		}
+	}
+	return false
+}
+
+func (s *selection) consider(m *member) {
+	if s.avoid && m.Name == s.query.Avoid {
+		return
+	}
+	s.considered++
+	cost := m.cost(s.query.Urgent)
+	switch {
+	case s.best == nil || cost < s.bestCost:
+		s.second, s.secondCost = s.best, s.bestCost
+		s.best, s.bestCost = m, cost
+	case s.second == nil || cost < s.secondCost:
+		s.second, s.secondCost = m, cost
+	}
+}
+
+// cost is the expected finish relative to an endpoint of mean speed. Recent
+// failures count as repeated runs. The load breaks near-ties, because a slot
+// thought free is less certain on a crowded endpoint.
+func (m *member) cost(urgent bool) float64 {
+	crowd := 1 + 0.1*float64(m.used())/float64(m.Slots)
+	if m.phase == phaseProbing {
+		if urgent {
+			return math.MaxFloat64
+		}
+		return m.factor * crowd
+	}
+	return m.factor * crowd * float64(1+m.streak)
+}
+
+func (s *selection) choice() Choice {
+	c := Choice{Endpoint: s.best.Name, Considered: s.considered, Reason: ReasonLeastFinish}
+	if s.second != nil {
+		c.RunnerUp = s.second.Name
+	} else {
+		c.Reason = ReasonOnly
+	}
+	if s.best.phase == phaseProbing {
+		c.Reason = ReasonProbe
+	}
+	return c
+}
--- /dev/null
+++ b/internal/dispatch/placer/fit.go
@@ -0,0 +1,32 @@
+package placer
+
+// Fit tells whether a task with given labels can ever run.
+type Fit int
+
+// The answers of Index.Fit.
+const (
+	// FitNone: no endpoint of the service is known.
+	FitNone Fit = iota
+	// FitNever: endpoints are known, and none offers the labels.
+	FitNever
+	// FitBlocked: endpoints fit, and all of them are blocked at present.
+	FitBlocked
+	// FitOK: an endpoint fits and is not blocked. It may be busy or ejected.
+	FitOK
+)
+
+// Fit tells whether an endpoint of the service offers all the labels.
+func (x *Index) Fit(firm, service string, labels []string) Fit {
+	p := x.pools[poolKey{firm, service}]
+	if p == nil {
+		return FitNone
+	}
+	c := p.class(labels)
+	switch {
+	case c == nil:
+		return FitNever
+	case c.unblocked == 0:
+		return FitBlocked
+	}
+	return FitOK
+}
--- /dev/null
+++ b/internal/dispatch/placer/pool.go
@@ -0,0 +1,216 @@
+package placer
+
+import (
+	"slices"
+	"strings"
+	"time"
+)
+
+// maxClasses bounds the label sets indexed per service. Callers choose label
+// sets, so without a bound they could fill the memory.
+const maxClasses = 64
+
+type poolKey struct{ firm, service string }
+
+type domainKey struct{ place, failureDomain string }
+
+// pool holds the endpoints of one service.
+type pool struct {
+	key     poolKey
+	members []*member
+	domains map[domainKey]*domain
+	// all is the class of tasks without labels.
+	all     *class
+	classes map[string]*class
+	// labelled lists classes in order of creation, the oldest first.
+	labelled []*class
+	// out counts the members that are ejected or probing.
+	out int
+	work
+}
+
+// domain counts the service's endpoints in one failure domain.
+type domain struct{ unblocked, open int }
+
+// class holds the endpoints of a service that offer one set of labels.
+type class struct {
+	key     string
+	labels  []string
+	members []*member
+	// free holds the members with a slot thought free.
+	free []freeMember
+	// unblocked counts members without a block, open those that are not ejected either.
+	unblocked, open int
+}
+
+type freeMember struct {
+	*member
+	seat int
+}
+
+func newPool(key poolKey) *pool {
+	return &pool{
+		key:     key,
+		domains: make(map[domainKey]*domain),
+		all:     &class{},
+		classes: make(map[string]*class),
+	}
+}
+
+// join adds m to the pool, the failure domain and the classes it belongs to.
+// It counts m as blocked; refresh corrects that.
+func (x *Index) join(m *member) {
+	key := poolKey{m.Scope.Firm, m.Scope.Service}
+	p := x.pools[key]
+	if p == nil {
+		p = newPool(key)
+		x.pools[key] = p
+	}
+	m.pool = p
+	p.members = append(p.members, m)
+	if m.phase != phaseIn {
+		p.out++
+	}
+	at := domainKey{m.Scope.Place, m.Scope.FailureDomain}
+	if p.domains[at] == nil {
+		p.domains[at] = &domain{}
+	}
+	m.domain = p.domains[at]
+	p.all.add(m)
+	for _, c := range p.labelled {
+		if offers(m.Labels, c.labels) {
+			c.add(m)
+		}
+	}
+}
+
+// leave takes m out of its pool. The caller settles the pool afterwards.
+func (x *Index) leave(m *member) {
+	m.setFree(false)
+	m.setOpen(false)
+	m.setUnblocked(false)
+	for _, s := range m.seats {
+		s.class.members = without(s.class.members, m)
+	}
+	m.seats = nil
+	m.pool.members = without(m.pool.members, m)
+	if m.phase != phaseIn {
+		m.pool.out--
+	}
+}
+
+// settle deletes an empty pool, or ends ejections that are no longer allowed.
+func (x *Index) settle(now time.Time, p *pool, d *domain) {
+	if len(p.members) == 0 {
+		delete(x.pools, p.key)
+		return
+	}
+	x.releaseExcess(now, p, d)
+}
+
+func without(members []*member, m *member) []*member {
+	at := slices.Index(members, m)
+	return slices.Delete(members, at, at+1)
+}
+
+func offers(offered, wanted []string) bool {
+	for _, label := range wanted {
+		if !slices.Contains(offered, label) {
+			return false
+		}
+	}
+	return true
+}
+
+// class returns the class for a set of labels, or nil if no member offers it.
+func (p *pool) class(labels []string) *class {
+	if len(labels) == 0 {
+		return p.all
+	}
+	key := classKey(labels)
+	if c, known := p.classes[key]; known {
+		if len(c.members) == 0 {
+			return nil
+		}
+		return c
+	}
+	c := &class{key: key, labels: slices.Clone(labels)}
+	for _, m := range p.members {
+		if offers(m.Labels, labels) {
+			c.adopt(m)
+		}
+	}
+	if len(c.members) == 0 {
+		return nil
+	}
+	p.keep(c)
+	return c
+}
+
+func classKey(labels []string) string {
+	if len(labels) == 1 {
+		return labels[0]
+	}
+	sorted := slices.Clone(labels)
+	slices.Sort(sorted)
+	return strings.Join(sorted, "\x00")
+}
+
+// keep indexes c, in place of the oldest class if there are too many.
+func (p *pool) keep(c *class) {
+	if len(p.labelled) == maxClasses {
+		oldest := p.labelled[0]
+		for _, m := range oldest.members {
+			m.seats = slices.DeleteFunc(m.seats, func(s seat) bool { return s.class == oldest })
+			m.renumber()
+		}
+		delete(p.classes, oldest.key)
+		p.labelled = slices.Delete(p.labelled, 0, 1)
+	}
+	p.classes[c.key] = c
+	p.labelled = append(p.labelled, c)
+}
+
+// renumber corrects the seat numbers in the free lists after a seat was deleted.
+func (m *member) renumber() {
+	for i, s := range m.seats {
+		if s.at >= 0 {
+			s.class.free[s.at].seat = i
+		}
+	}
+}
+
+func (c *class) add(m *member) {
+	c.members = append(c.members, m)
+	m.seats = append(m.seats, seat{class: c, at: -1})
+}
+
+// adopt adds a member that is already counted elsewhere.
+func (c *class) adopt(m *member) {
+	c.add(m)
+	if m.unblocked {
+		c.unblocked++
+	}
+	if m.open {
+		c.open++
+	}
+	if m.free {
+		c.addFree(m, len(m.seats)-1)
+	}
+}
+
+func (c *class) addFree(m *member, seat int) {
+	m.seats[seat].at = len(c.free)
+	c.free = append(c.free, freeMember{m, seat})
+}
+
+func (c *class) removeFree(m *member, seat int) {
+	at := m.seats[seat].at
+	last := len(c.free) - 1
+	moved := c.free[last]
+	c.free[at] = moved
+	moved.seats[moved.seat].at = at
+	c.free[last] = freeMember{}
+	c.free = c.free[:last]
+	m.seats[seat].at = -1
+}
