--- /dev/null
+++ b/internal/dispatch/coordinator/admit.go
@@ -0,0 +1,232 @@
+package coordinator
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/burdockrudder/burdockrudder/internal/dispatch/messenger"
+	"github.com/burdockrudder/burdockrudder/internal/dispatch/placer"
+	"github.com/burdockrudder/burdockrudder/internal/settings/resolver"
+)
+
+// lookup is a call that waits for the rows of a submission to be read.
+type lookup struct {
+	waiter     waiter
+	submission messenger.Submission
+	// query has no body: there is nothing to compare with a row's digest.
+	query bool
+	// cancel asks the owner to cancel.
+	cancel bool
+	// refusal is given if the rows show no earlier attempt.
+	refusal messenger.Refusal
+}
+
+// submit takes a submission of a caller or of a peer.
+func (s *State) submit(w waiter, submission messenger.Submission) {
+	s.counters.Submitted++
+	key := submission.Key
+	if j := s.jobs[key]; j != nil {
+		s.attach(w, j, submission.Digest)
+		return
+	}
+	if r := s.remotes[key]; r != nil {
+		s.joinRemote(w, r, submission.Digest)
+		return
+	}
+	if !s.lifeCycle.Is(entryActive) {
+		s.refuseAfterRead(w, submission, messenger.CodeNotRun, "this entry is "+s.lifeCycle.Current())
+		return
+	}
+	settings, ok := s.tree.ResolveAdmission(key.Firm, key.Service)
+	if !ok {
+		s.replyRefusal(w, key, messenger.CodeNotFound, "no such service")
+		return
+	}
+	if submission.Deadline == 0 {
+		submission.Deadline = time.Duration(settings.DefaultDeadline)
+	}
+	if refusal, refused := s.validate(submission, settings); refused {
+		s.refuseAfterRead(w, submission, refusal.Code, refusal.Reason)
+		return
+	}
+	s.admit(w, submission, settings)
+}
+
+// admit starts a submission that has a ticket of this entry, and asks for the
+// intent row otherwise.
+func (s *State) admit(w waiter, submission messenger.Submission, settings resolver.Resolved) {
+	owner, isTicket := ticketOwner(submission.Key.ID)
+	if isTicket && owner != s.Config.Incarnation {
+		s.submitForeignTicket(w, submission, owner)
+		return
+	}
+	if isTicket {
+		s.submitTicket(w, submission, settings)
+		return
+	}
+	j := s.newJob(submission, settings)
+	j.waiters = append(j.waiters, w)
+	s.emit(CommitIntent{Row: IntentRow{
+		Key:      submission.Key,
+		Owner:    s.Config.Incarnation,
+		Digest:   submission.Digest,
+		Tasks:    len(submission.Tasks),
+		Deadline: submission.Deadline,
+	}})
+}
+
+// validate returns the reason why a submission cannot be admitted now.
+func (s *State) validate(submission messenger.Submission, settings resolver.Resolved) (messenger.Refusal, bool) {
+	never := func(format string, args ...any) (messenger.Refusal, bool) {
+		return messenger.Refusal{Code: messenger.CodeNeverRunnable, Reason: fmt.Sprintf(format, args...)}, true
+	}
+	switch {
+	case len(submission.Tasks) == 0:
+		return never("no tasks")
+	case len(submission.Tasks) > settings.MaxTasks:
+		return never("%d tasks, the limit is %d", len(submission.Tasks), settings.MaxTasks)
+	case submission.Kind == messenger.KindRequest && len(submission.Tasks) != 1:
+		return never("a request has one task, not %d", len(submission.Tasks))
+	case submission.Deadline < 0:
+		return never("the deadline is negative")
+	case submission.Deadline > time.Duration(settings.MaxDeadline):
+		return never("deadline %s, the limit is %s", submission.Deadline, time.Duration(settings.MaxDeadline))
+	}
+	for i, spec := range submission.Tasks {
+		if len(spec.Payload) > settings.MaxPayloadBytes {
+			return never("task %d: payload of %d bytes, the limit is %d", i, len(spec.Payload), settings.MaxPayloadBytes)
+		}
+	}
+	if refusal, refused := s.validateFit(submission); refused {
+		return refusal, true
+	}
+	if !s.teams.MayWait(submission.Key.Firm, submission.Team, len(submission.Tasks)) {
+		return messenger.Refusal{Code: messenger.CodeQuota, Reason: "too many tasks of the team are waiting"}, true
+	}
+	return messenger.Refusal{}, false
+}
+
+func (s *State) validateFit(submission messenger.Submission) (messenger.Refusal, bool) {
+	key := submission.Key
+	var previous []string
+	for i, spec := range submission.Tasks {
+		if i > 0 && sameLabels(previous, spec.Labels) {
+			continue
+		}
+		previous = spec.Labels
+		switch s.index.Fit(key.Firm, key.Service, spec.Labels) {
+		case placer.FitNone:
+			return messenger.Refusal{Code: messenger.CodeNotRun, Reason: "no endpoint of the service is known"}, true
+		case placer.FitNever:
+			reason := fmt.Sprintf("task %d: no endpoint of the service offers labels %q", i, spec.Labels)
+			return messenger.Refusal{Code: messenger.CodeNeverRunnable, Reason: reason}, true
+		case placer.FitBlocked, placer.FitOK:
+			// An endpoint that is blocked now may be back before the deadline.
+		}
+	}
+	return messenger.Refusal{}, false
+}
+
+func sameLabels(a, b []string) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	for i := range a {
+		if a[i] != b[i] {
+			return false
+		}
+	}
+	return true
+}
+
+// refuseAfterRead refuses only after the rows were read: "not run" would be
+// untrue if an earlier attempt of the same id had run through another entry.
+func (s *State) refuseAfterRead(w waiter, submission messenger.Submission, code messenger.RefusalCode, reason string) {
+	s.read(submission.Key, lookup{
+		waiter:     w,
+		submission: submission,
+		refusal:    messenger.Refusal{Code: code, Reason: reason},
+	})
+}
+
+func (s *State) read(key messenger.SubmissionKey, l lookup) {
+	if len(s.lookups[key]) == 0 {
+		s.emit(ReadIntent{Key: key})
+	}
+	s.lookups[key] = append(s.lookups[key], l)
+}
+
+// attach joins a resubmission to the submission that is known here.
+func (s *State) attach(w waiter, j *job, digest string) {
+	if digest != j.submission.Digest {
+		s.replyConflict(w, j.submission.Key)
+		return
+	}
+	s.join(w, j)
+}
+
+func (s *State) replyConflict(w waiter, key messenger.SubmissionKey) {
+	s.replyRefusal(w, key, messenger.CodeConflict, "the id is in use for another body")
+}
+
+func (s *State) join(w waiter, j *job) {
+	switch {
+	case j.told || j.lifeCycle.Is(jobSettled):
+		s.reply(w, OutcomeAnswer{Outcome: j.outcome})
+	case w.wait:
+		j.waiters = append(j.waiters, w)
+	default:
+		s.replyInProgress(w)
+	}
+}
+
+func (s *State) replyInProgress(w waiter) {
+	s.reply(w, RefusalAnswer{Refusal: messenger.Refusal{
+		Code: messenger.CodeInProgress, Reason: "the submission is not settled yet",
+	}})
+}
+
+// query answers with the outcome of a submission, wherever it is owned.
+func (s *State) query(w waiter, key messenger.SubmissionKey) {
+	if j := s.jobs[key]; j != nil {
+		s.join(w, j)
+		return
+	}
+	if r := s.remotes[key]; r != nil {
+		s.joinRemote(w, r, "")
+		return
+	}
+	s.read(key, lookup{
+		waiter:     w,
+		submission: messenger.Submission{Key: key},
+		query:      true,
+		refusal:    messenger.Refusal{Code: messenger.CodeNotFound, Reason: "no such submission"},
+	})
+}
+
+func (s *State) callerGone(call CallID) {
+	for _, j := range s.jobs {
+		j.waiters = withoutCall(j.waiters, call)
+	}
+	for _, r := range s.remotes {
+		r.waiters = withoutCall(r.waiters, call)
+	}
+	for key, lookups := range s.lookups {
+		for i := range lookups {
+			if lookups[i].waiter.peer == "" && lookups[i].waiter.call == call {
+				lookups[i].waiter.call = 0
+			}
+		}
+		s.lookups[key] = lookups
+	}
+}
+
+func withoutCall(waiters []waiter, call CallID) []waiter {
+	kept := waiters[:0]
+	for _, w := range waiters {
+		if w.peer != "" || w.call != call {
+			kept = append(kept, w)
+		}
+	}
+	return kept
+}
--- /dev/null
+++ b/internal/dispatch/coordinator/config.go
@@ -0,0 +1,76 @@
+package coordinator
+
+import (
+	"time"
+
+	"github.com/burdockrudder/burdockrudder/internal/dispatch/messenger"
+)
+
+// TickInterval is the time between the ticks that the edge sends.
+const TickInterval = 20 * time.Millisecond
+
+// Config holds the timing of an entry's decisions. Defaults returns the values
+// that the design page states.
+type Config struct {
+	Name        string
+	Incarnation messenger.Incarnation
+	Address     string
+
+	// StatusInterval is the time between status messages to agents and peers.
+	StatusInterval time.Duration
+	// SilentAfter is the time without a message after which an agent gets no new work.
+	SilentAfter time.Duration
+	// GoneAfter is the time without a message after which tasks sent to an agent
+	// are given up. It is far longer than the outage of a link.
+	GoneAfter time.Duration
+	// RenewInterval is the time between renewals of the entry row.
+	RenewInterval time.Duration
+	// EntryLease is how long an entry row that is not renewed holds, and the
+	// longest stall after which an entry may go on without reading its row.
+	EntryLease time.Duration
+	// PeerLapse is the time after which an entry row that is not renewed no
+	// longer counts for the confirmation of settings.
+	PeerLapse time.Duration
+	// CollectPatience bounds the wait for agents in a takeover.
+	CollectPatience time.Duration
+	// OutcomePatience is how long an outcome waits for the store before
+	// witnesses are asked.
+	OutcomePatience time.Duration
+	// OutcomeCache is how long settled submissions stay in memory.
+	OutcomeCache time.Duration
+	// AnswerGrace is how long after the deadline an agent's answer is awaited.
+	AnswerGrace time.Duration
+	// DrainPatience bounds the wait for admitted jobs in a graceful stop.
+	DrainPatience time.Duration
+	// TicketLifetime is how long an id handed out by this entry may be used.
+	TicketLifetime time.Duration
+
+	// SettingsLease, StartFreshness and RecordHorizon are enforced by agents.
+	SettingsLease  time.Duration
+	StartFreshness time.Duration
+	RecordHorizon  time.Duration
+}
+
+// Defaults returns the timing of the design page for an entry.
+func Defaults(name string, incarnation messenger.Incarnation, address string) Config {
+	return Config{
+		Name:            name,
+		Incarnation:     incarnation,
+		Address:         address,
+		StatusInterval:  500 * time.Millisecond,
+		SilentAfter:     1500 * time.Millisecond,
+		GoneAfter:       10 * time.Second,
+		RenewInterval:   time.Second,
+		EntryLease:      3 * time.Second,
+		PeerLapse:       10 * time.Second,
+		CollectPatience: 5 * time.Second,
+		OutcomePatience: time.Second,
+		OutcomeCache:    time.Minute,
+		AnswerGrace:     time.Second,
+		DrainPatience:   20 * time.Second,
+		TicketLifetime:  10 * time.Minute,
+		SettingsLease:   2500 * time.Millisecond,
+		StartFreshness:  3 * time.Second,
+		RecordHorizon:   10 * time.Minute,
+	}
+}
--- /dev/null
+++ b/internal/dispatch/coordinator/dispatch.go
@@ -0,0 +1,213 @@
+package coordinator
+
+import (
+	"strings"
+	"time"
+
+	"github.com/burdockrudder/burdockrudder/internal/dispatch/limiter"
+	"github.com/burdockrudder/burdockrudder/internal/dispatch/messenger"
+	"github.com/burdockrudder/burdockrudder/internal/dispatch/placer"
+)
+
+// retryBurst is how many retries may follow each other before the budget has to
+// be earned by starts.
+const retryBurst = 10
+
+type serviceKey struct {
+	firm    string
+	service string
+}
+
+// classKey names the tasks that compete for the same endpoints.
+type classKey struct {
+	serviceKey
+	labels string
+}
+
+// class is the waiting tasks of one class.
+type class struct {
+	key    classKey
+	labels []string
+	queue  *limiter.Queue
+}
+
+func (s *State) classOf(j *job, labels []string) *class {
+	key := classKey{
+		serviceKey: serviceKey{firm: j.submission.Key.Firm, service: j.submission.Key.Service},
+		labels:     strings.Join(labels, "\x00"),
+	}
+	c := s.classes[key]
+	if c == nil {
+		c = &class{key: key, labels: labels, queue: limiter.NewQueue(key.firm, s.teams)}
+		s.classes[key] = c
+		s.order = append(s.order, c)
+	}
+	return c
+}
+
+func (s *State) budgetOf(j *job) *limiter.Budget {
+	key := serviceKey{firm: j.submission.Key.Firm, service: j.submission.Key.Service}
+	b := s.budgets[key]
+	if b == nil {
+		b = limiter.NewBudget(j.settings.RetryBudget, retryBurst)
+		s.budgets[key] = b
+	}
+	return b
+}
+
+// enqueue makes a task wait for a slot, under its present attempt number.
+func (s *State) enqueue(t *task) {
+	spec := t.job.submission.Tasks[t.index]
+	if t.class == nil {
+		t.class = s.classOf(t.job, spec.Labels)
+	}
+	t.phase = taskWaiting
+	t.class.queue.Push(s.now, limiter.Item{
+		Task:     t.key(),
+		Attempt:  t.attempt,
+		Team:     t.job.submission.Team,
+		Priority: t.job.submission.Priority,
+		Enqueued: t.job.admittedAt,
+		Arrival:  t.job.arrival,
+		Declared: spec.DeclaredRunTime,
+	})
+}
+
+// mayDispatch is false while this entry has not proved that it was not replaced.
+func (s *State) mayDispatch() bool {
+	return s.lifeCycle.Is(entryActive) || s.lifeCycle.Is(entryDraining)
+}
+
+// dispatch sends waiting tasks while slots are thought to be free. The classes
+// take turns in going first.
+func (s *State) dispatch() {
+	if !s.mayDispatch() || len(s.order) == 0 {
+		return
+	}
+	for _, c := range s.order {
+		for s.dispatchNext(c) {
+			continue
+		}
+	}
+	if len(s.order) > 1 {
+		s.order = append(s.order[1:], s.order[0])
+	}
+}
+
+func (s *State) dispatchNext(c *class) bool {
+	item, ok := c.queue.Peek(s.now, s.Random)
+	if !ok {
+		return false
+	}
+	t := s.findTask(item.Task)
+	if t == nil || t.phase != taskWaiting || t.attempt != item.Attempt {
+		c.queue.Pop(s.now, s.Random)
+		return true
+	}
+	choice, ok := s.choose(t, c, "")
+	if !ok {
+		return false
+	}
+	c.queue.Pop(s.now, s.Random)
+	kind := DecisionPlace
+	if t.attempt > 0 {
+		kind = DecisionReplace
+		s.counters.StartsAgain++
+	}
+	s.sendCopy(t, t.attempt, choice, kind)
+	return true
+}
+
+func (s *State) choose(t *task, c *class, avoid string) (placer.Choice, bool) {
+	return s.index.Choose(s.now, s.Random, placer.Query{
+		Firm:     c.key.firm,
+		Service:  c.key.service,
+		Labels:   c.labels,
+		Declared: t.job.submission.Tasks[t.index].DeclaredRunTime,
+		Avoid:    avoid,
+		Urgent:   t.job.submission.Priority == messenger.PriorityHigh,
+	})
+}
+
+// sendCopy asks the chosen agent to start one attempt.
+func (s *State) sendCopy(t *task, attempt int, choice placer.Choice, kind DecisionKind) {
+	a := s.agents[choice.Endpoint]
+	t.phase = taskSent
+	t.copies = append(t.copies, copySent{attempt: attempt, agent: a, at: s.now})
+	a.sent[copyKey{task: t.key(), attempt: attempt}] = t
+	s.index.Sent(s.now, a.name, t.key())
+	s.teams.Started(t.job.submission.Key.Firm, t.job.submission.Team)
+	s.budgetOf(t.job).Started()
+	s.counters.Starts++
+	s.emit(Decision{
+		Kind:       kind,
+		Submission: t.job.submission.Key,
+		Task:       t.index,
+		Attempt:    attempt,
+		Endpoint:   choice.Endpoint,
+		Reason:     choice.Reason,
+		Considered: choice.Considered,
+		RunnerUp:   choice.RunnerUp,
+	})
+	s.send(a.incarnation, s.startMessage(t, attempt, a))
+}
+
+func (s *State) startMessage(t *task, attempt int, a *agent) messenger.Start {
+	return messenger.Start{
+		Task:             t.key(),
+		Attempt:          attempt,
+		Owner:            s.Config.Incarnation,
+		AgentIncarnation: a.incarnation,
+		ReportSequence:   a.sequence,
+		TimeLeft:         t.job.deadlineAt.Sub(s.now),
+		Priority:         t.job.submission.Priority,
+		Repeatable:       t.job.submission.Repeatable,
+		Payload:          t.job.submission.Tasks[t.index].Payload,
+	}
+}
+
+// takeCopy ends one attempt and frees what it held. It returns false if the
+// attempt is not outstanding at that agent.
+func (s *State) takeCopy(t *task, attempt int, from messenger.Incarnation, returned placer.Returned) bool {
+	i := t.copyOf(attempt)
+	if i < 0 || t.copies[i].agent.incarnation != from {
+		return false
+	}
+	a := t.copies[i].agent
+	t.copies = append(t.copies[:i], t.copies[i+1:]...)
+	delete(a.sent, copyKey{task: t.key(), attempt: attempt})
+	returned.Declared = t.job.submission.Tasks[t.index].DeclaredRunTime
+	s.index.Returned(s.now, a.name, returned)
+	s.teams.Ended(t.job.submission.Key.Firm, t.job.submission.Team)
+	return true
+}
+
+// hedge sends a second copy of repeatable requests that take long.
+func (s *State) hedge() {
+	kept := s.hedgeable[:0]
+	for _, j := range s.hedgeable {
+		if j.open == 0 {
+			continue
+		}
+		kept = append(kept, j)
+		for i := range j.tasks {
+			s.hedgeTask(&j.tasks[i])
+		}
+	}
+	s.hedgeable = kept
+}
+
+func (s *State) hedgeTask(t *task) {
+	after := time.Duration(t.job.settings.HedgeAfter)
+	if t.phase != taskSent || t.hedged || len(t.copies) != 1 || s.now.Sub(t.copies[0].at) < after {
+		return
+	}
+	choice, ok := s.choose(t, t.class, t.copies[0].agent.name)
+	if !ok || choice.Endpoint == t.copies[0].agent.name || !s.budgetOf(t.job).Retry() {
+		return
+	}
+	t.hedged = true
+	t.attempt++
+	s.counters.Hedges++
+	s.sendCopy(t, t.attempt, choice, DecisionReplace)
+}
--- /dev/null
+++ b/internal/dispatch/coordinator/drain.go
@@ -0,0 +1,53 @@
+package coordinator
+
+import "github.com/burdockrudder/burdockrudder/internal/dispatch/messenger"
+
+// drainRequested starts the graceful stop. Admitted jobs go on, so that a
+// planned stop fails none of them.
+func (s *State) drainRequested() {
+	if step(s.lifeCycle, eventDrain) {
+		s.drainBy = s.now.Add(s.Config.DrainPatience)
+	}
+}
+
+func (s *State) drainTick() {
+	if !s.lifeCycle.Is(entryDraining) {
+		return
+	}
+	if !s.now.Before(s.drainBy) {
+		s.endDrain()
+	}
+	if !s.busy() {
+		step(s.lifeCycle, eventStop)
+		s.emit(Drained{})
+	}
+}
+
+// busy tells whether a caller still waits for an answer that this entry owes.
+func (s *State) busy() bool {
+	for _, j := range s.jobs {
+		if !j.told {
+			return true
+		}
+	}
+	for _, r := range s.remotes {
+		if len(r.waiters) > 0 {
+			return true
+		}
+	}
+	return len(s.lookups) > 0
+}
+
+// endDrain stops what did not end in time: waiting tasks never run, sent tasks
+// are asked back, and waiters for other owners are told that nothing is known.
+func (s *State) endDrain() {
+	for _, j := range s.jobsWithPrefix(messenger.SubmissionKey{}) {
+		if j.lifeCycle.Is(jobRunning) && j.stopReason == "" {
+			s.stop(j, "the entry stops")
+			s.cancelSent(j)
+		}
+	}
+	for _, r := range s.sortedRemotes() {
+		s.giveUpWaiters(r)
+	}
+}
--- a/internal/dispatch/coordinator/events.go
+++ b/internal/dispatch/coordinator/events.go
@@ -110,6 +110,8 @@
 
 // LeaseRenewed reports on a RenewLease.
 type LeaseRenewed struct {
+	// Renewal is the number of the RenewLease that this answers.
+	Renewal uint64 `json:"renewal"`
 	// Failed is true if the table gave no answer.
 	Failed bool `json:"failed,omitempty"`
 	// Fenced is true if our own row was fenced or belongs to another incarnation.
--- /dev/null
+++ b/internal/dispatch/coordinator/intent.go
@@ -0,0 +1,162 @@
+package coordinator
+
+import (
+	"container/heap"
+
+	"github.com/burdockrudder/burdockrudder/internal/dispatch/messenger"
+)
+
+// intentSettled continues the admission and the lookups that wait for the rows
+// of a submission.
+func (s *State) intentSettled(e IntentSettled) {
+	if j := s.jobs[e.Key]; j != nil && j.lifeCycle.Is(jobAdmitting) {
+		s.admissionSettled(j, e)
+	}
+	lookups := s.lookups[e.Key]
+	delete(s.lookups, e.Key)
+	for _, l := range lookups {
+		s.lookupSettled(l, e)
+	}
+}
+
+// admissionSettled starts the job if the row in force names this incarnation.
+// That is safe even if the row stems from an earlier attempt that was abandoned:
+// a job stays in memory until its outcome row is in force, so a row of this
+// incarnation without job and outcome never started anything.
+func (s *State) admissionSettled(j *job, e IntentSettled) {
+	switch {
+	case e.Failed:
+		s.dropAdmission(j, messenger.CodeOutcomeUnknown,
+			"the store gave no answer; this attempt started nothing, earlier attempts are unknown")
+	case e.Outcome != nil:
+		s.removeJob(j)
+		for _, w := range j.waiters {
+			s.replyOutcome(w, *e.Outcome, j.submission.Digest)
+		}
+	case e.Row == nil:
+		s.dropAdmission(j, messenger.CodeOutcomeUnknown, "the store returned no row")
+	case e.Row.Digest != j.submission.Digest:
+		s.dropAdmission(j, messenger.CodeConflict, "the id is in use for another body")
+	case e.Row.Owner == s.Config.Incarnation:
+		s.startJob(j)
+	default:
+		s.removeJob(j)
+		s.addRemote(*e.Row, &j.submission, j.waiters)
+	}
+}
+
+func (s *State) dropAdmission(j *job, code messenger.RefusalCode, reason string) {
+	s.removeJob(j)
+	for _, w := range j.waiters {
+		s.replyRefusal(w, j.submission.Key, code, reason)
+	}
+}
+
+func (s *State) removeJob(j *job) {
+	delete(s.jobs, j.submission.Key)
+}
+
+// replyOutcome tells an outcome row, unless it belongs to another body.
+func (s *State) replyOutcome(w waiter, outcome messenger.Outcome, digest string) {
+	if digest != "" && outcome.Digest != "" && digest != outcome.Digest {
+		s.replyConflict(w, outcome.Key)
+		return
+	}
+	s.reply(w, OutcomeAnswer{Outcome: outcome})
+}
+
+// lookupSettled answers a call whose rows were read.
+func (s *State) lookupSettled(l lookup, e IntentSettled) {
+	key := l.submission.Key
+	if j := s.jobs[key]; j != nil {
+		s.lookupJob(l, j)
+		return
+	}
+	switch {
+	case e.Failed:
+		s.replyRefusal(l.waiter, key, messenger.CodeOutcomeUnknown,
+			"the store gave no answer; this attempt started nothing, earlier attempts are unknown")
+	case e.Outcome != nil && l.cancel:
+		s.reply(l.waiter, CancelAnswer{})
+	case e.Outcome != nil:
+		s.replyOutcome(l.waiter, *e.Outcome, l.submission.Digest)
+	case e.Row == nil:
+		s.lookupAbsent(l)
+	case e.Row.Owner == s.Config.Incarnation:
+		// Ours, but neither live nor settled: the admission was abandoned.
+		s.lookupAbandoned(l)
+	case !l.query && e.Row.Digest != l.submission.Digest:
+		s.replyConflict(l.waiter, key)
+	default:
+		s.lookupForeign(l, *e.Row)
+	}
+}
+
+func (s *State) lookupJob(l lookup, j *job) {
+	switch {
+	case l.cancel:
+		s.reply(l.waiter, CancelAnswer{Cancelled: s.cancelJob(j)})
+	case l.query:
+		s.join(l.waiter, j)
+	default:
+		s.attach(l.waiter, j, l.submission.Digest)
+	}
+}
+
+// lookupAbsent handles a submission that has no intent row. A ticket has none
+// even if its owner has started it.
+func (s *State) lookupAbsent(l lookup) {
+	owner, isTicket := ticketOwner(l.submission.Key.ID)
+	if isTicket && owner != s.Config.Incarnation {
+		row := IntentRow{
+			Key:      l.submission.Key,
+			Owner:    owner,
+			Digest:   l.submission.Digest,
+			Tasks:    len(l.submission.Tasks),
+			Deadline: l.submission.Deadline,
+		}
+		s.lookupForeign(l, row)
+		return
+	}
+	s.lookupAbandoned(l)
+}
+
+func (s *State) lookupAbandoned(l lookup) {
+	if l.cancel {
+		s.reply(l.waiter, CancelAnswer{})
+		return
+	}
+	s.replyRefusal(l.waiter, l.submission.Key, l.refusal.Code, l.refusal.Reason)
+}
+
+func (s *State) lookupForeign(l lookup, row IntentRow) {
+	if l.cancel {
+		s.forwardCancel(l.waiter, row)
+		return
+	}
+	var submission *messenger.Submission
+	if !l.query {
+		submission = &l.submission
+	}
+	if r := s.remotes[row.Key]; r != nil {
+		s.joinRemote(l.waiter, r, l.submission.Digest)
+		return
+	}
+	s.addRemote(row, submission, []waiter{l.waiter})
+}
+
+// startJob makes the tasks of an admitted job wait for a slot.
+func (s *State) startJob(j *job) {
+	step(j.lifeCycle, eventAdmit)
+	heap.Push(&s.deadlines, j)
+	s.emit(Decision{Kind: DecisionAdmit, Submission: j.submission.Key, Reason: string(j.submission.Kind)})
+	if j.submission.Repeatable && j.settings.HedgeAfter > 0 {
+		s.hedgeable = append(s.hedgeable, j)
+	}
+	for i := range j.tasks {
+		s.enqueue(&j.tasks[i])
+	}
+	if j.stopReason != "" {
+		s.stop(j, j.stopReason)
+	}
+}
--- /dev/null
+++ b/internal/dispatch/coordinator/job.go
@@ -0,0 +1,136 @@
+package coordinator
+
+import (
+	"time"
+
+	"github.com/looplab/fsm"
+
+	"github.com/burdockrudder/burdockrudder/internal/dispatch/messenger"
+	"github.com/burdockrudder/burdockrudder/internal/settings/resolver"
+)
+
+// job is a submission that this entry owns or is about to own.
+type job struct {
+	submission messenger.Submission
+	settings   resolver.Resolved
+	lifeCycle  *fsm.FSM
+	ticket     bool
+	waiters    []waiter
+	tasks      []task
+	// open counts the tasks that have no final state yet.
+	open       int
+	arrival    uint64
+	admittedAt time.Time
+	deadlineAt time.Time
+	// expired is true once the deadline has passed; graceEnd is then the end of
+	// the wait for the agents' answers.
+	expired  bool
+	graceEnd time.Time
+	// stopReason is set once the job can only fail; no further task starts.
+	stopReason string
+	outcome    messenger.Outcome
+	settlingAt time.Time
+	settledAt  time.Time
+	witnesses  []messenger.Incarnation
+	accepted   int
+	// told is true once the waiters have been answered.
+	told bool
+}
+
+// taskPhase is where a task is on its way.
+type taskPhase uint8
+
+const (
+	taskNew taskPhase = iota
+	taskWaiting
+	taskSent
+	taskDone
+)
+
+type task struct {
+	job     *job
+	index   int
+	phase   taskPhase
+	attempt int
+	copies  []copySent
+	class   *class
+	outcome messenger.TaskOutcome
+	hedged  bool
+}
+
+// copySent is one attempt that an agent has been asked to start and has not
+// answered. A task that is not repeatable has at most one.
+type copySent struct {
+	attempt    int
+	agent      *agent
+	at         time.Time
+	cancelSent bool
+}
+
+func (t *task) key() messenger.TaskKey {
+	return messenger.TaskKey{Submission: t.job.submission.Key, Index: t.index}
+}
+
+func (t *task) copyOf(attempt int) int {
+	for i := range t.copies {
+		if t.copies[i].attempt == attempt {
+			return i
+		}
+	}
+	return -1
+}
+
+func (s *State) newJob(submission messenger.Submission, settings resolver.Resolved) *job {
+	s.arrivals++
+	j := &job{
+		submission: submission,
+		settings:   settings,
+		lifeCycle:  newJobLifeCycle(),
+		tasks:      make([]task, len(submission.Tasks)),
+		open:       len(submission.Tasks),
+		arrival:    s.arrivals,
+		admittedAt: s.now,
+		deadlineAt: s.now.Add(submission.Deadline),
+	}
+	for i := range j.tasks {
+		j.tasks[i] = task{job: j, index: i}
+	}
+	s.jobs[submission.Key] = j
+	return j
+}
+
+// expiresAt is the next moment at which the job's time runs out.
+func (j *job) expiresAt() time.Time {
+	if j.expired {
+		return j.graceEnd
+	}
+	return j.deadlineAt
+}
+
+// findTask returns the live task of a key, or nil.
+func (s *State) findTask(key messenger.TaskKey) *task {
+	j := s.jobs[key.Submission]
+	if j == nil || key.Index < 0 || key.Index >= len(j.tasks) {
+		return nil
+	}
+	return &j.tasks[key.Index]
+}
+
+// deadlineHeap orders jobs by deadline for container/heap.
+type deadlineHeap []*job
+
+func (h deadlineHeap) Len() int           { return len(h) }
+func (h deadlineHeap) Less(i, j int) bool { return h[i].expiresAt().Before(h[j].expiresAt()) }
+func (h deadlineHeap) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
+
+// Push adds a job; container/heap calls it.
+func (h *deadlineHeap) Push(x any) { *h = append(*h, x.(*job)) }
+
+// Pop removes the last job; container/heap calls it.
+func (h *deadlineHeap) Pop() any {
+	old := *h
+	last := old[len(old)-1]
+	old[len(old)-1] = nil
+	*h = old[:len(old)-1]
+	return last
+}
--- /dev/null
+++ b/internal/dispatch/coordinator/life_cycle.go
@@ -0,0 +1,58 @@
+package coordinator
+
+import (
+	"context"
+
+	"github.com/looplab/fsm"
+)
+
+// The life cycle of an entry.
+const (
+	entryStarting  = "starting"
+	entryActive    = "active"
+	entrySuspended = "suspended"
+	entryDraining  = "draining"
+	entryStopped   = "stopped"
+
+	eventActivate = "activate"
+	eventSuspend  = "suspend"
+	eventDrain    = "drain"
+	eventStop     = "stop"
+)
+
+func newEntryLifeCycle() *fsm.FSM {
+	return fsm.NewFSM(entryStarting, fsm.Events{
+		{Name: eventActivate, Src: []string{entryStarting, entrySuspended}, Dst: entryActive},
+		{Name: eventSuspend, Src: []string{entryActive}, Dst: entrySuspended},
+		{Name: eventDrain, Src: []string{entryStarting, entryActive, entrySuspended}, Dst: entryDraining},
+		{Name: eventStop, Src: []string{entryStarting, entryActive, entrySuspended, entryDraining}, Dst: entryStopped},
+	}, nil)
+}
+
+// The life cycle of a job.
+const (
+	jobAdmitting = "admitting"
+	jobRunning   = "running"
+	jobSettling  = "settling"
+	jobSettled   = "settled"
+
+	eventAdmit  = "admit"
+	eventFinish = "finish"
+	eventSettle = "settle"
+)
+
+func newJobLifeCycle() *fsm.FSM {
+	return fsm.NewFSM(jobAdmitting, fsm.Events{
+		{Name: eventAdmit, Src: []string{jobAdmitting}, Dst: jobRunning},
+		{Name: eventFinish, Src: []string{jobRunning}, Dst: jobSettling},
+		{Name: eventSettle, Src: []string{jobSettling}, Dst: jobSettled},
+	}, nil)
+}
+
+// step moves a life cycle and tells whether the event applied.
+func step(machine *fsm.FSM, event string) bool {
+	if !machine.Can(event) {
+		return false
+	}
+	return machine.Event(context.Background(), event) == nil
+}
--- /dev/null
+++ b/internal/dispatch/coordinator/members.go
@@ -0,0 +1,247 @@
+package coordinator
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/burdockrudder/burdockrudder/internal/dispatch/messenger"
+	"github.com/burdockrudder/burdockrudder/internal/dispatch/placer"
+	"github.com/burdockrudder/burdockrudder/internal/settings/resolver"
+)
+
+// agent is an entry's view of one agent and its endpoint.
+type agent struct {
+	name        string
+	incarnation messenger.Incarnation
+	hello       messenger.Hello
+	heardAt     time.Time
+	// sequence is that of the last report; starts and statuses echo it.
+	sequence        uint64
+	load            messenger.EndpointLoad
+	settingsVersion uint64
+	scope           resolver.Scope
+	silent          bool
+	gone            bool
+	heldBack        bool
+	domainOut       bool
+	directorySent   uint64
+	sent            map[copyKey]*task
+}
+
+// copyKey names one attempt of a task.
+type copyKey struct {
+	task    messenger.TaskKey
+	attempt int
+}
+
+func compareCopies(a, b copyKey) int {
+	if c := strings.Compare(a.task.Submission.String(), b.task.Submission.String()); c != 0 {
+		return c
+	}
+	if a.task.Index != b.task.Index {
+		return a.task.Index - b.task.Index
+	}
+	return a.attempt - b.attempt
+}
+
+// heard notes that a process is alive as seen from here.
+func (s *State) heard(from messenger.Incarnation) {
+	if a := s.agentOf[from]; a != nil {
+		a.heardAt = s.now
+		if a.silent {
+			a.silent = false
+			s.updateBlocks(a)
+		}
+	}
+	if p := s.peers[from]; p != nil {
+		p.heardAt = s.now
+	}
+}
+
+// agentLinked takes a new link. Another incarnation means that the former one
+// is gone; the same incarnation gets the unanswered starts again, which is
+// harmless since the agent's gate answers known tasks with their state.
+func (s *State) agentLinked(hello messenger.Hello) {
+	a := s.agents[hello.Name]
+	if a != nil && a.incarnation != hello.Incarnation {
+		s.agentGone(a, "the agent was restarted")
+		a = nil
+	}
+	if a == nil {
+		a = s.addAgent(hello)
+	}
+	a.gone = false
+	a.hello = hello
+	a.directorySent = 0
+	s.heard(a.incarnation)
+	s.resend(a)
+}
+
+func (s *State) addAgent(hello messenger.Hello) *agent {
+	a := &agent{
+		name:        hello.Name,
+		incarnation: hello.Incarnation,
+		hello:       hello,
+		heardAt:     s.now,
+		sent:        make(map[copyKey]*task),
+	}
+	s.agents[a.name] = a
+	s.agentOf[a.incarnation] = a
+	at, _ := slices.BinarySearchFunc(s.sorted, a.name, func(x *agent, name string) int {
+		return strings.Compare(x.name, name)
+	})
+	s.sorted = slices.Insert(s.sorted, at, a)
+	for _, t := range s.sortedTakeovers() {
+		s.fenceAgent(t, a)
+	}
+	return a
+}
+
+func (s *State) resend(a *agent) {
+	for _, key := range a.sortedCopies() {
+		t := a.sent[key]
+		s.send(a.incarnation, s.startMessage(t, key.attempt, a))
+	}
+	for _, t := range s.sortedTakeovers() {
+		if t.awaiting[a.incarnation] {
+			s.send(a.incarnation, messenger.Fence{Owner: t.owner})
+		}
+	}
+}
+
+func (a *agent) sortedCopies() []copyKey {
+	keys := make([]copyKey, 0, len(a.sent))
+	for key := range a.sent {
+		keys = append(keys, key)
+	}
+	slices.SortFunc(keys, compareCopies)
+	return keys
+}
+
+// agentGone gives up an incarnation: what it was asked to start is in doubt.
+func (s *State) agentGone(a *agent, reason string) {
+	s.index.Remove(a.name)
+	delete(s.agents, a.name)
+	delete(s.agentOf, a.incarnation)
+	s.sorted = slices.DeleteFunc(s.sorted, func(x *agent) bool { return x == a })
+	for _, j := range s.settling {
+		j.witnesses = slices.DeleteFunc(j.witnesses, func(x messenger.Incarnation) bool { return x == a.incarnation })
+	}
+	for _, t := range s.sortedTakeovers() {
+		s.agentLost(t, a.incarnation)
+	}
+	for _, key := range a.sortedCopies() {
+		t := a.sent[key]
+		if s.takeCopy(t, key.attempt, a.incarnation, placer.Returned{Verdict: placer.Lost}) && t.phase != taskDone {
+			s.inDoubt(t, reason)
+		}
+	}
+}
+
+// report takes an agent's periodic report.
+func (s *State) report(from messenger.Incarnation, m messenger.Report) {
+	a := s.agentOf[from]
+	if a == nil || m.Sequence < a.sequence {
+		return
+	}
+	first := a.sequence == 0
+	a.sequence = m.Sequence
+	a.settingsVersion = m.SettingsVersion
+	a.heldBack = false
+	if first || a.scope.Service != m.Load.Service || !slices.Equal(a.load.Labels, m.Load.Labels) ||
+		a.load.Slots != m.Load.Slots {
+		a.load = m.Load
+		s.register(a)
+	}
+	a.load = m.Load
+	s.index.Told(s.now, a.name, m.Load)
+	s.updateBlocks(a)
+	if first {
+		s.sendStatus(a)
+	}
+}
+
+// register puts an agent's endpoint into the index with the settings in force.
+func (s *State) register(a *agent) {
+	a.scope = resolver.Scope{
+		Firm:          a.hello.Firm,
+		Place:         a.hello.Place,
+		FailureDomain: a.hello.FailureDomain,
+		Service:       a.load.Service,
+	}
+	if a.load.Service == "" || s.tree == nil {
+		return
+	}
+	settings, declared := s.tree.Resolve(a.scope)
+	a.domainOut = !declared || settings.State != messenger.DomainIn
+	s.index.Put(s.now, placer.Endpoint{
+		Name:       a.name,
+		Scope:      a.scope,
+		Labels:     a.load.Labels,
+		Slots:      a.load.Slots,
+		QueueLimit: settings.QueueLimit,
+		EjectAfter: settings.EjectAfter,
+		EjectFor:   time.Duration(settings.EjectFor),
+		RampUp:     time.Duration(settings.RampUp),
+	})
+	s.index.Told(s.now, a.name, a.load)
+	s.updateBlocks(a)
+}
+
+// updateBlocks tells the index whether the endpoint may get new work.
+func (s *State) updateBlocks(a *agent) {
+	s.block(a, placer.BlockSilent, a.silent || a.heldBack)
+	s.block(a, placer.BlockDomainOut, a.domainOut)
+	s.block(a, placer.BlockDraining, a.load.Draining)
+}
+
+func (s *State) block(a *agent, reason placer.Block, blocked bool) {
+	if blocked {
+		s.index.Block(s.now, a.name, reason)
+		return
+	}
+	s.index.Unblock(s.now, a.name, reason)
+}
+
+// toldLoad takes the load that is piggybacked on answers.
+func (s *State) toldLoad(from messenger.Incarnation, load messenger.EndpointLoad) {
+	a := s.agentOf[from]
+	if a == nil {
+		return
+	}
+	changed := a.load.Draining != load.Draining
+	load.Service = a.load.Service
+	load.Labels = a.load.Labels
+	a.load = load
+	s.index.Told(s.now, a.name, load)
+	if changed {
+		s.updateBlocks(a)
+	}
+}
+
+// watchAgents finds agents that fell silent, and gives up those that stay so.
+func (s *State) watchAgents() {
+	var gone []*agent
+	for _, a := range s.sorted {
+		quiet := s.now.Sub(a.heardAt)
+		if quiet >= s.Config.SilentAfter && !a.silent {
+			a.silent = true
+			s.updateBlocks(a)
+		}
+		if quiet >= s.Config.GoneAfter {
+			gone = append(gone, a)
+		}
+	}
+	for _, a := range gone {
+		s.agentGone(a, "the agent was silent for too long")
+	}
+}
+
+// releaseCopies frees what attempts of a given-up task still hold.
+func (s *State) releaseCopies(t *task) {
+	for len(t.copies) > 0 {
+		c := t.copies[0]
+		s.takeCopy(t, c.attempt, c.agent.incarnation, placer.Returned{Verdict: placer.Lost})
+	}
+}
--- /dev/null
+++ b/internal/dispatch/coordinator/peers.go
@@ -0,0 +1,155 @@
+package coordinator
+
+import (
+	"slices"
+	"time"
+
+	"github.com/burdockrudder/burdockrudder/internal/dispatch/messenger"
+)
+
+// peerTimes is how many sent statuses are remembered to date an echo.
+const peerTimes = 64
+
+// peer is an entry's view of another entry.
+type peer struct {
+	name        string
+	incarnation messenger.Incarnation
+	heardAt     time.Time
+	sequence    uint64
+	version     uint64
+	// confirmedAt is when the status was sent that the peer's last one echoes.
+	confirmedAt time.Time
+}
+
+func (s *State) peerLinked(e PeerLinked) {
+	p := s.peers[e.Incarnation]
+	if p == nil {
+		p = &peer{name: e.Name, incarnation: e.Incarnation}
+		s.peers[e.Incarnation] = p
+	}
+	p.heardAt = s.now
+	s.sendPeerStatus(p)
+	for _, r := range s.sortedRemotes() {
+		if r.row.Owner == e.Incarnation && !r.taken {
+			s.forward(r)
+		}
+	}
+}
+
+// reachable tells whether an entry incarnation was heard lately.
+func (s *State) reachable(owner messenger.Incarnation) bool {
+	p := s.peers[owner]
+	return p != nil && s.now.Sub(p.heardAt) < s.Config.SilentAfter
+}
+
+func (s *State) sortedPeers() []*peer {
+	peers := make([]*peer, 0, len(s.peers))
+	for _, p := range s.peers {
+		peers = append(peers, p)
+	}
+	slices.SortFunc(peers, func(a, b *peer) int {
+		if a.incarnation < b.incarnation {
+			return -1
+		}
+		return 1
+	})
+	return peers
+}
+
+func (s *State) statusToPeers() {
+	s.peerSeq++
+	s.peerSent[s.peerSeq%peerTimes] = s.now
+	for _, p := range s.sortedPeers() {
+		if s.now.Sub(p.heardAt) > s.Config.GoneAfter {
+			delete(s.peers, p.incarnation)
+			continue
+		}
+		s.sendPeerStatus(p)
+	}
+}
+
+func (s *State) sendPeerStatus(p *peer) {
+	if s.peerSeq == 0 {
+		s.peerSeq = 1
+		s.peerSent[1] = s.now
+	}
+	s.send(p.incarnation, messenger.PeerStatus{
+		Sequence: s.peerSeq, EchoSequence: p.sequence, SettingsVersion: s.version,
+	})
+}
+
+func (s *State) peerStatus(from messenger.Incarnation, m messenger.PeerStatus) {
+	p := s.peers[from]
+	if p == nil {
+		return
+	}
+	p.sequence = m.Sequence
+	p.version = m.SettingsVersion
+	if m.EchoSequence > 0 && m.EchoSequence <= s.peerSeq && s.peerSeq-m.EchoSequence < peerTimes {
+		p.confirmedAt = s.peerSent[m.EchoSequence%peerTimes]
+	}
+}
+
+// forwardCall is a call to a peer that has not been answered.
+type forwardCall struct {
+	key    messenger.SubmissionKey
+	cancel *cancelCall
+}
+
+func (s *State) newCall(c forwardCall) uint64 {
+	s.lastCall++
+	s.calls[s.lastCall] = &c
+	return s.lastCall
+}
+
+// forward passes a remote submission to its owner.
+func (s *State) forward(r *remote) {
+	delete(s.calls, r.call)
+	r.call = s.newCall(forwardCall{key: r.row.Key})
+	m := messenger.Forward{Call: r.call, Submission: messenger.Submission{Key: r.row.Key}}
+	if r.submission != nil {
+		m.Submission = *r.submission
+	}
+	s.counters.Forwards++
+	s.emit(Decision{Kind: DecisionForward, Submission: r.row.Key, Endpoint: string(r.row.Owner), Reason: "the owner is reachable"})
+	s.send(r.row.Owner, m)
+}
+
+// forwardReceived serves a peer's call like a caller's.
+func (s *State) forwardReceived(from messenger.Incarnation, m messenger.Forward) {
+	w := waiter{peer: from, peerCall: m.Call, wait: true}
+	switch {
+	case m.Cancel:
+		s.cancelRequested(w, m.Submission.Key, m.Prefix)
+	case len(m.Submission.Tasks) > 0:
+		s.submit(w, m.Submission)
+	default:
+		s.query(w, m.Submission.Key)
+	}
+}
+
+// forwarded takes the owner's answer and passes it on.
+func (s *State) forwarded(m messenger.Forwarded) {
+	call := s.calls[m.Call]
+	if call == nil {
+		return
+	}
+	delete(s.calls, m.Call)
+	if call.cancel != nil {
+		s.cancelAnswered(call.cancel, m.Cancelled)
+		return
+	}
+	r := s.remotes[call.key]
+	if r == nil || r.taken || r.call != m.Call {
+		return
+	}
+	delete(s.remotes, call.key)
+	for _, w := range r.waiters {
+		switch {
+		case m.Outcome != nil:
+			s.replyOutcome(w, *m.Outcome, r.digest())
+		case m.Refusal != nil:
+			s.reply(w, RefusalAnswer{Refusal: *m.Refusal})
+		}
+	}
+}
--- /dev/null
+++ b/internal/dispatch/coordinator/results.go
@@ -0,0 +1,145 @@
+package coordinator
+
+import (
+	"github.com/burdockrudder/burdockrudder/internal/dispatch/messenger"
+	"github.com/burdockrudder/burdockrudder/internal/dispatch/placer"
+)
+
+// finished takes the result of an attempt. Late results of settled or unknown
+// tasks change nothing, but free the slot and serve takeovers.
+func (s *State) finished(from messenger.Incarnation, m messenger.Finished) {
+	s.toldLoad(from, m.Load)
+	t := s.findTask(m.Task)
+	if t == nil {
+		s.collectFinished(from, m)
+		return
+	}
+	verdict := placer.Succeeded
+	switch m.Outcome.State {
+	case messenger.TaskFailed:
+		verdict = placer.Failed
+	case messenger.TaskMayHaveRun, messenger.TaskNotRun:
+		verdict = placer.Lost
+	case messenger.TaskSucceeded:
+	}
+	if !s.takeCopy(t, m.Attempt, from, placer.Returned{RunTime: m.RunTime, Verdict: verdict}) {
+		return
+	}
+	if t.phase == taskDone {
+		return
+	}
+	if m.Outcome.State == messenger.TaskSucceeded || !s.retry(t) {
+		s.finishTask(t, m.Outcome)
+	}
+}
+
+// retry places a repeatable task again after a failed attempt. It returns true
+// if the task is not to be finished now.
+func (s *State) retry(t *task) bool {
+	if !t.job.submission.Repeatable || t.job.stopReason != "" {
+		return false
+	}
+	if len(t.copies) > 0 {
+		// Another copy may still succeed.
+		return true
+	}
+	if !t.job.deadlineAt.After(s.now) || !s.budgetOf(t.job).Retry() {
+		return false
+	}
+	s.counters.Retries++
+	t.attempt++
+	s.enqueue(t)
+	return true
+}
+
+// refused takes an agent's refusal. With proof, the task is placed again.
+func (s *State) refused(from messenger.Incarnation, m messenger.Refused) {
+	s.counters.RefusedStarts++
+	s.toldLoad(from, m.Load)
+	s.holdBack(from, m.Reason)
+	t := s.findTask(m.Task)
+	if t == nil {
+		s.collectRefused(from, m)
+		return
+	}
+	verdict := placer.NotStarted
+	if !m.NeverStarted {
+		verdict = placer.Lost
+	}
+	if !s.takeCopy(t, m.Attempt, from, placer.Returned{Verdict: verdict}) || t.phase == taskDone {
+		return
+	}
+	if !m.NeverStarted {
+		s.inDoubt(t, "the agent refused without proof: "+string(m.Reason))
+		return
+	}
+	if len(t.copies) > 0 {
+		return
+	}
+	if t.job.stopReason != "" {
+		s.finishTask(t, messenger.TaskOutcome{State: messenger.TaskNotRun, Reason: t.job.stopReason})
+		return
+	}
+	t.attempt++
+	s.enqueue(t)
+}
+
+// holdBack stops placement on an agent whose refusal its load does not explain,
+// until its next report.
+func (s *State) holdBack(from messenger.Incarnation, reason messenger.RefusalReason) {
+	a := s.agentOf[from]
+	switch reason {
+	case messenger.RefusedUnconfirmed, messenger.RefusedDomainOut, messenger.RefusedStale:
+		if a != nil {
+			a.heldBack = true
+			s.updateBlocks(a)
+		}
+	case messenger.RefusedFenced:
+		// Somebody has taken over; the entry row tells.
+		s.suspend()
+	default:
+	}
+}
+
+// inDoubt ends a task that nobody can prove not to have started.
+func (s *State) inDoubt(t *task, reason string) {
+	if s.retry(t) {
+		return
+	}
+	s.emit(Decision{
+		Kind: DecisionGiveUp, Submission: t.job.submission.Key, Task: t.index, Attempt: t.attempt, Reason: reason,
+	})
+	s.finishTask(t, messenger.TaskOutcome{State: messenger.TaskMayHaveRun, Reason: reason})
+}
+
+// finishTask gives a task its final state. The first failure stops the job: it
+// can no longer be complete, so nothing more of it starts.
+func (s *State) finishTask(t *task, outcome messenger.TaskOutcome) {
+	if t.phase == taskDone {
+		return
+	}
+	if t.phase == taskWaiting {
+		t.class.queue.Remove(t.key())
+	}
+	t.phase = taskDone
+	t.outcome = outcome
+	j := t.job
+	j.open--
+	if outcome.State != messenger.TaskSucceeded && j.stopReason == "" {
+		s.stop(j, "another task of the job did not succeed")
+	}
+	if j.open == 0 && j.lifeCycle.Is(jobRunning) {
+		s.settle(j)
+	}
+}
+
+// stop ends the waiting tasks of a job.
+func (s *State) stop(j *job, reason string) {
+	j.stopReason = reason
+	for i := range j.tasks {
+		t := &j.tasks[i]
+		if t.phase == taskWaiting {
+			s.finishTask(t, messenger.TaskOutcome{State: messenger.TaskNotRun, Reason: reason})
+		}
+	}
+}
--- /dev/null
+++ b/internal/dispatch/coordinator/settings.go
@@ -0,0 +1,132 @@
+package coordinator
+
+import (
+	"time"
+
+	"github.com/burdockrudder/burdockrudder/internal/dispatch/messenger"
+)
+
+// settingsRead takes a read of the settings. The higher version always wins; a
+// lower one neither replaces nor confirms what is in force.
+func (s *State) settingsRead(e SettingsRead) {
+	if e.Version > s.version && e.Tree != nil {
+		s.version = e.Version
+		s.tree = e.Tree
+		s.settingsChanged()
+	}
+	if e.Version == s.version && e.SentAt.After(s.confirmedAt) {
+		s.confirmedAt = e.SentAt
+	}
+	s.activate()
+}
+
+// settingsChanged applies a new version here and pushes it to all agents at once.
+func (s *State) settingsChanged() {
+	for firm, settings := range s.tree.Firms {
+		for team, quota := range settings.Teams {
+			s.teams.Set(firm, team, quota)
+		}
+	}
+	for _, a := range s.sorted {
+		if a.sequence > 0 {
+			s.register(a)
+			s.sendStatus(a)
+		}
+	}
+	s.statusToPeers()
+}
+
+// confirmation returns the time as of which the settings here are known to be
+// the newest accepted ones.
+func (s *State) confirmation() time.Time {
+	confirmed := s.confirmedAt
+	if told, ok := s.peerConfirmation(); ok && told.After(confirmed) {
+		confirmed = told
+	}
+	return confirmed
+}
+
+// peerConfirmation holds without the store: an accepted change is in force at
+// the entry that accepted it, so if every other entry has answered a message
+// sent at t and knows no higher version, none was accepted before t.
+func (s *State) peerConfirmation() (time.Time, bool) {
+	if s.renewedAt.IsZero() || s.version == 0 {
+		return time.Time{}, false
+	}
+	confirmed := s.now
+	for _, row := range s.directory {
+		if row.Incarnation == s.Config.Incarnation || row.Fenced || s.lapsed(row) {
+			continue
+		}
+		p := s.peers[row.Incarnation]
+		if p == nil || p.confirmedAt.IsZero() || p.version > s.version {
+			return time.Time{}, false
+		}
+		if p.confirmedAt.Before(confirmed) {
+			confirmed = p.confirmedAt
+		}
+	}
+	return confirmed, true
+}
+
+func (s *State) statusToAgents() {
+	for _, a := range s.sorted {
+		if a.sequence > 0 {
+			s.sendStatus(a)
+		}
+	}
+}
+
+// sendStatus tells an agent the age of the confirmation, and the settings and
+// the directory if it lacks them.
+func (s *State) sendStatus(a *agent) {
+	if s.version == 0 {
+		return
+	}
+	confirmed := s.confirmation()
+	if confirmed.IsZero() {
+		return
+	}
+	m := messenger.Status{
+		EchoSequence:    a.sequence,
+		ConfirmedAge:    s.now.Sub(confirmed),
+		SettingsVersion: s.version,
+	}
+	if a.settingsVersion < s.version && a.load.Service != "" {
+		m.Settings = s.agentSettings(a)
+	}
+	if a.directorySent != s.renewal {
+		a.directorySent = s.renewal
+		m.Directory = s.addresses()
+	}
+	s.send(a.incarnation, m)
+}
+
+func (s *State) agentSettings(a *agent) *messenger.AgentSettings {
+	settings, declared := s.tree.Resolve(a.scope)
+	state := settings.State
+	if !declared {
+		state = messenger.DomainOut
+	}
+	return &messenger.AgentSettings{
+		Version:        s.version,
+		State:          state,
+		QueueLimit:     settings.QueueLimit,
+		SettingsLease:  s.Config.SettingsLease,
+		StartFreshness: s.Config.StartFreshness,
+		RecordHorizon:  s.Config.RecordHorizon,
+	}
+}
+
+// addresses lists the entries that agents are to link to.
+func (s *State) addresses() []messenger.EntryAddress {
+	var addresses []messenger.EntryAddress
+	for _, row := range s.directory {
+		if !row.Fenced && !s.lapsed(row) {
+			addresses = append(addresses, messenger.EntryAddress{
+				Name: row.Name, Incarnation: row.Incarnation, Address: row.Address,
+			})
+		}
+	}
+	return addresses
+}
--- /dev/null
+++ b/internal/dispatch/coordinator/settle.go
@@ -0,0 +1,179 @@
+package coordinator
+
+import (
+	"slices"
+
+	"github.com/burdockrudder/burdockrudder/internal/dispatch/messenger"
+)
+
+// witnessCount is how many agents keep an outcome while the store does not
+// answer. Two in different failure domains survive the loss of one.
+const witnessCount = 2
+
+// settle computes the outcome and asks for its row.
+func (s *State) settle(j *job) {
+	step(j.lifeCycle, eventFinish)
+	j.settlingAt = s.now
+	j.outcome = outcomeOf(j)
+	s.settling = append(s.settling, j)
+	s.emit(CommitOutcome{Outcome: j.outcome})
+	if s.storeDown {
+		s.askWitnesses(j)
+	}
+}
+
+func outcomeOf(j *job) messenger.Outcome {
+	outcome := messenger.Outcome{
+		Key:    j.submission.Key,
+		Status: messenger.OutcomeComplete,
+		Digest: j.submission.Digest,
+		Tasks:  make([]messenger.TaskOutcome, len(j.tasks)),
+	}
+	for i := range j.tasks {
+		outcome.Tasks[i] = j.tasks[i].outcome
+		if j.tasks[i].outcome.State != messenger.TaskSucceeded {
+			outcome.Status = messenger.OutcomeFailed
+		}
+	}
+	if outcome.Status == messenger.OutcomeFailed {
+		outcome.Reason = j.stopReason
+		dropResults(outcome.Tasks)
+	}
+	return outcome
+}
+
+// dropResults makes the answer of a failed job whole: it holds states and
+// reasons, never some of the results.
+func dropResults(tasks []messenger.TaskOutcome) {
+	for i := range tasks {
+		tasks[i].Result = nil
+	}
+}
+
+// outcomeSettled tells the row in force, whoever has written it.
+func (s *State) outcomeSettled(e OutcomeSettled) {
+	j := s.jobs[e.Key]
+	if e.Failed || e.Outcome == nil {
+		s.storeDown = true
+		if j != nil && j.lifeCycle.Is(jobSettling) {
+			s.askWitnesses(j)
+		}
+		return
+	}
+	s.storeDown = false
+	if j == nil {
+		s.remoteSettled(e.Key, *e.Outcome)
+		return
+	}
+	if !j.lifeCycle.Is(jobSettling) {
+		return
+	}
+	s.settling = slices.DeleteFunc(s.settling, func(x *job) bool { return x == j })
+	if j.told && j.outcome.Status != e.Outcome.Status {
+		s.emit(Decision{
+			Kind: DecisionGiveUp, Submission: e.Key,
+			Reason: "the outcome row differs from the outcome that was told through witnesses",
+		})
+	}
+	if !j.told {
+		j.outcome = *e.Outcome
+	}
+	step(j.lifeCycle, eventSettle)
+	j.settledAt = s.now
+	s.settled = append(s.settled, j)
+	s.tell(j)
+}
+
+// tell answers all waiters of a job once.
+func (s *State) tell(j *job) {
+	if !j.told {
+		j.told = true
+		if j.outcome.Status == messenger.OutcomeComplete {
+			s.counters.Complete++
+		} else {
+			s.counters.Failed++
+		}
+	}
+	for _, w := range j.waiters {
+		s.reply(w, OutcomeAnswer{Outcome: j.outcome})
+	}
+	j.waiters = nil
+}
+
+// settlingTick asks for witnesses when the store takes long, and forgets jobs
+// that were settled long ago.
+func (s *State) settlingTick() {
+	for _, j := range s.settling {
+		if s.now.Sub(j.settlingAt) >= s.Config.OutcomePatience {
+			s.storeDown = true
+			s.askWitnesses(j)
+		}
+	}
+	for len(s.settled) > 0 && s.now.Sub(s.settled[0].settledAt) >= s.Config.OutcomeCache {
+		s.evict(s.settled[0])
+		s.settled = s.settled[1:]
+	}
+}
+
+// evict forgets a settled job. Attempts that were given up release their slots.
+func (s *State) evict(j *job) {
+	for i := range j.tasks {
+		s.releaseCopies(&j.tasks[i])
+	}
+	s.removeJob(j)
+}
+
+// askWitnesses asks agents to keep the outcome, so that it can be told before
+// the store has it. It is asked again while too few have accepted.
+func (s *State) askWitnesses(j *job) {
+	if j.told || len(j.witnesses) >= witnessCount {
+		return
+	}
+	for _, a := range s.chooseWitnesses(j) {
+		j.witnesses = append(j.witnesses, a.incarnation)
+		s.counters.WitnessCalls++
+		s.send(a.incarnation, messenger.Witness{Owner: s.Config.Incarnation, Outcome: j.outcome})
+	}
+}
+
+// chooseWitnesses picks agents that are heard, in failure domains that differ
+// where there are two; the arrival number spreads the choice.
+func (s *State) chooseWitnesses(j *job) []*agent {
+	var candidates []*agent
+	for i := range s.sorted {
+		a := s.sorted[(i+int(j.arrival%uint64(len(s.sorted))))%len(s.sorted)]
+		if !a.silent && !slices.Contains(j.witnesses, a.incarnation) {
+			candidates = append(candidates, a)
+		}
+	}
+	wanted := witnessCount - len(j.witnesses)
+	if len(candidates) <= wanted {
+		return candidates
+	}
+	chosen := candidates[:1]
+	for _, a := range candidates[1:] {
+		if len(chosen) < wanted && a.hello.FailureDomain != chosen[0].hello.FailureDomain {
+			chosen = append(chosen, a)
+		}
+	}
+	if len(chosen) < wanted {
+		chosen = candidates[:wanted]
+	}
+	return chosen
+}
+
+// witnessed tells the outcome once enough agents keep it.
+func (s *State) witnessed(from messenger.Incarnation, m messenger.Witnessed) {
+	j := s.jobs[m.Key]
+	if j == nil || !j.lifeCycle.Is(jobSettling) || !slices.Contains(j.witnesses, from) {
+		return
+	}
+	if !m.Accepted {
+		s.suspend()
+		return
+	}
+	j.accepted++
+	if j.accepted >= witnessCount {
+		s.tell(j)
+	}
+}
--- a/internal/dispatch/coordinator/snapshot.go
+++ b/internal/dispatch/coordinator/snapshot.go
@@ -12,16 +12,18 @@
 type Snapshot struct {
 	Incarnation messenger.Incarnation `json:"incarnation"`
 	// LifeCycle is starting, active, suspended, draining or stopped.
-	LifeCycle           string         `json:"life_cycle"`
-	SettingsVersion     uint64         `json:"settings_version"`
-	SettingsConfirmedAt time.Time      `json:"settings_confirmed_at"`
-	Tree                *resolver.Tree `json:"-"`
-	Endpoints           []EndpointView `json:"endpoints"`
-	Directory           []EntryRow     `json:"directory"`
-	LiveSubmissions     int            `json:"live_submissions"`
-	WaitingTasks        int            `json:"waiting_tasks"`
-	SentTasks           int            `json:"sent_tasks"`
-	Counters            Counters       `json:"counters"`
+	LifeCycle           string    `json:"life_cycle"`
+	SettingsVersion     uint64    `json:"settings_version"`
+	SettingsConfirmedAt time.Time `json:"settings_confirmed_at"`
+	// LeaseRenewedAt is when this entry last renewed its row in the table.
+	LeaseRenewedAt  time.Time      `json:"lease_renewed_at"`
+	Tree            *resolver.Tree `json:"-"`
+	Endpoints       []EndpointView `json:"endpoints"`
+	Directory       []EntryRow     `json:"directory"`
+	LiveSubmissions int            `json:"live_submissions"`
+	WaitingTasks    int            `json:"waiting_tasks"`
+	SentTasks       int            `json:"sent_tasks"`
+	Counters        Counters       `json:"counters"`
 }
 
 // EndpointView is what an entry knows of an endpoint.
--- /dev/null
+++ b/internal/dispatch/coordinator/state.go
@@ -0,0 +1,214 @@
+package coordinator
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/looplab/fsm"
+
+	"github.com/burdockrudder/burdockrudder/internal/dispatch/limiter"
+	"github.com/burdockrudder/burdockrudder/internal/dispatch/messenger"
+	"github.com/burdockrudder/burdockrudder/internal/dispatch/placer"
+	"github.com/burdockrudder/burdockrudder/internal/settings/resolver"
+)
+
+// State is an entry's decision state. Its exported fields are set before the
+// first Handle. It is used by one goroutine.
+type State struct {
+	Config Config
+	Random *rand.Rand
+
+	now       time.Time
+	handledAt time.Time
+	effects   []Effect
+	lifeCycle *fsm.FSM
+	drainBy   time.Time
+
+	tree        *resolver.Tree
+	version     uint64
+	confirmedAt time.Time
+
+	renewal      uint64
+	renewSentAt  time.Time
+	renewedAt    time.Time
+	renewPending bool
+	directory    []EntryRow
+	rowSeen      map[string]rowSight
+
+	agents   map[string]*agent
+	sorted   []*agent
+	agentOf  map[messenger.Incarnation]*agent
+	peers    map[messenger.Incarnation]*peer
+	peerSeq  uint64
+	peerSent [peerTimes]time.Time
+	statusAt time.Time
+
+	jobs      map[messenger.SubmissionKey]*job
+	arrivals  uint64
+	deadlines deadlineHeap
+	settling  []*job
+	settled   []*job
+	hedgeable []*job
+	storeDown bool
+	lookups   map[messenger.SubmissionKey][]lookup
+
+	index   *placer.Index
+	classes map[classKey]*class
+	order   []*class
+	teams   *limiter.Teams
+	budgets map[serviceKey]*limiter.Budget
+	tickets map[serviceKey]*ticketBook
+
+	remotes   map[messenger.SubmissionKey]*remote
+	takeovers map[messenger.Incarnation]*takeover
+	calls     map[uint64]*forwardCall
+	lastCall  uint64
+
+	counters Counters
+}
+
+// rowSight is when a row's renewal was first seen, by this entry's clock.
+type rowSight struct {
+	incarnation messenger.Incarnation
+	renewal     uint64
+	at          time.Time
+}
+
+// Handle applies one event and returns the effects in the order in which they
+// are to be carried out.
+func (s *State) Handle(now time.Time, event Event) []Effect {
+	s.prepare(now)
+	s.now = now
+	s.effects = nil
+	s.checkStall()
+	s.apply(event)
+	s.dispatch()
+	s.handledAt = now
+	return s.effects
+}
+
+func (s *State) apply(event Event) {
+	switch e := event.(type) {
+	case Tick:
+		s.tick()
+	case Submitted:
+		s.submit(waiter{call: e.Call, wait: true}, e.Submission)
+	case Queried:
+		s.query(waiter{call: e.Call, wait: e.Wait}, e.Key)
+	case CancelRequested:
+		s.cancelRequested(waiter{call: e.Call}, e.Key, e.Prefix)
+	case TicketsRequested:
+		s.issueTickets(e)
+	case CallerGone:
+		s.callerGone(e.Call)
+	case IntentSettled:
+		s.intentSettled(e)
+	case OutcomeSettled:
+		s.outcomeSettled(e)
+	case AgentLinked:
+		s.agentLinked(e.Hello)
+	case PeerLinked:
+		s.peerLinked(e)
+	case Received:
+		s.received(e.From, e.Message)
+	case LeaseRenewed:
+		s.leaseRenewed(e)
+	case EntryFenced:
+		s.entryFenced(e)
+	case SettingsRead:
+		s.settingsRead(e)
+	case DrainRequested:
+		s.drainRequested()
+	}
+}
+
+func (s *State) prepare(now time.Time) {
+	if s.lifeCycle != nil {
+		return
+	}
+	s.lifeCycle = newEntryLifeCycle()
+	s.handledAt = now
+	s.rowSeen = make(map[string]rowSight)
+	s.agents = make(map[string]*agent)
+	s.agentOf = make(map[messenger.Incarnation]*agent)
+	s.peers = make(map[messenger.Incarnation]*peer)
+	s.jobs = make(map[messenger.SubmissionKey]*job)
+	s.lookups = make(map[messenger.SubmissionKey][]lookup)
+	s.index = placer.New()
+	s.classes = make(map[classKey]*class)
+	s.teams = limiter.NewTeams()
+	s.budgets = make(map[serviceKey]*limiter.Budget)
+	s.tickets = make(map[serviceKey]*ticketBook)
+	s.remotes = make(map[messenger.SubmissionKey]*remote)
+	s.takeovers = make(map[messenger.Incarnation]*takeover)
+	s.calls = make(map[uint64]*forwardCall)
+}
+
+func (s *State) received(from messenger.Incarnation, m messenger.Message) {
+	s.heard(from)
+	switch m := m.(type) {
+	case messenger.Report:
+		s.report(from, m)
+	case messenger.Refused:
+		s.refused(from, m)
+	case messenger.Finished:
+		s.finished(from, m)
+	case messenger.Cancelled:
+		s.cancelled(from, m)
+	case messenger.Fenced:
+		s.fenced(from, m)
+	case messenger.Witnessed:
+		s.witnessed(from, m)
+	case messenger.PeerStatus:
+		s.peerStatus(from, m)
+	case messenger.Forward:
+		s.forwardReceived(from, m)
+	case messenger.Forwarded:
+		s.forwarded(m)
+	default:
+		// Other messages are not for entries; a neighbouring version may send them.
+	}
+}
+
+func (s *State) emit(effect Effect) {
+	s.effects = append(s.effects, effect)
+}
+
+func (s *State) send(to messenger.Incarnation, m messenger.Message) {
+	s.emit(Send{To: to, Message: m})
+}
+
+// waiter is somebody who waits for an answer: a caller of this entry, or a peer
+// that forwarded a call.
+type waiter struct {
+	call     CallID
+	peer     messenger.Incarnation
+	peerCall uint64
+	wait     bool
+}
+
+// reply answers a waiter. A peer gets the outcome or the refusal as a message.
+func (s *State) reply(w waiter, answer Answer) {
+	if w.peer == "" {
+		s.emit(Reply{Call: w.call, Answer: answer})
+		return
+	}
+	m := messenger.Forwarded{Call: w.peerCall}
+	switch a := answer.(type) {
+	case OutcomeAnswer:
+		m.Outcome = &a.Outcome
+	case RefusalAnswer:
+		m.Refusal = &a.Refusal
+	case CancelAnswer:
+		m.Cancelled = a.Cancelled
+	case TicketsAnswer:
+		// Tickets are never forwarded.
+	}
+	s.send(w.peer, m)
+}
+
+func (s *State) replyRefusal(w waiter, key messenger.SubmissionKey, code messenger.RefusalCode, reason string) {
+	s.counters.Refused++
+	s.emit(Decision{Kind: DecisionRefuse, Submission: key, Reason: string(code) + ": " + reason})
+	s.reply(w, RefusalAnswer{Refusal: messenger.Refusal{Code: code, Reason: reason}})
+}
--- /dev/null
+++ b/internal/dispatch/coordinator/takeover.go
@@ -0,0 +1,306 @@
+package coordinator
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/burdockrudder/burdockrudder/internal/dispatch/messenger"
+)
+
+// remote is a submission that another incarnation owns and that somebody here
+// waits for.
+type remote struct {
+	row        IntentRow
+	submission *messenger.Submission
+	waiters    []waiter
+	call       uint64
+	startedAt  time.Time
+	// taken is true once the owner is being replaced.
+	taken bool
+	// settling is true once the outcome row was asked for.
+	settling bool
+}
+
+func (r *remote) digest() string {
+	if r.submission == nil {
+		return ""
+	}
+	return r.submission.Digest
+}
+
+// takeoverPhase is how far the replacement of an entry has come.
+type takeoverPhase uint8
+
+const (
+	takeoverWaiting takeoverPhase = iota
+	takeoverFencing
+	takeoverCollecting
+)
+
+// takeover replaces one dead entry incarnation. One fence covers all its jobs.
+type takeover struct {
+	owner       messenger.Incarnation
+	phase       takeoverPhase
+	startedAt   time.Time
+	collectedAt time.Time
+	awaiting    map[messenger.Incarnation]bool
+	records     map[messenger.SubmissionKey]map[int]heldRecord
+	witnessed   map[messenger.SubmissionKey]messenger.Outcome
+}
+
+// heldRecord is a record and the agent that holds it.
+type heldRecord struct {
+	messenger.Record
+	agent messenger.Incarnation
+}
+
+func (s *State) addRemote(row IntentRow, submission *messenger.Submission, waiters []waiter) {
+	r := &remote{row: row, submission: submission, startedAt: s.now}
+	s.remotes[row.Key] = r
+	for _, w := range waiters {
+		s.joinRemote(w, r, "")
+	}
+	if s.reachable(row.Owner) {
+		s.forward(r)
+		return
+	}
+	s.takeOver(r)
+}
+
+func (s *State) joinRemote(w waiter, r *remote, digest string) {
+	if digest != "" && r.row.Digest != "" && digest != r.row.Digest {
+		s.replyConflict(w, r.row.Key)
+		return
+	}
+	if !w.wait {
+		s.replyInProgress(w)
+		return
+	}
+	r.waiters = append(r.waiters, w)
+}
+
+func (s *State) sortedRemotes() []*remote {
+	remotes := make([]*remote, 0, len(s.remotes))
+	for _, r := range s.remotes {
+		remotes = append(remotes, r)
+	}
+	slices.SortFunc(remotes, func(a, b *remote) int {
+		return strings.Compare(a.row.Key.String(), b.row.Key.String())
+	})
+	return remotes
+}
+
+func (s *State) sortedTakeovers() []*takeover {
+	if len(s.takeovers) == 0 {
+		return nil
+	}
+	takeovers := make([]*takeover, 0, len(s.takeovers))
+	for _, t := range s.takeovers {
+		takeovers = append(takeovers, t)
+	}
+	slices.SortFunc(takeovers, func(a, b *takeover) int { return strings.Compare(string(a.owner), string(b.owner)) })
+	return takeovers
+}
+
+// takeOver starts or joins the replacement of a remote's owner.
+func (s *State) takeOver(r *remote) {
+	if s.takeovers[r.row.Owner] == nil {
+		s.takeovers[r.row.Owner] = &takeover{
+			owner:     r.row.Owner,
+			startedAt: s.now,
+			awaiting:  make(map[messenger.Incarnation]bool),
+			records:   make(map[messenger.SubmissionKey]map[int]heldRecord),
+			witnessed: make(map[messenger.SubmissionKey]messenger.Outcome),
+		}
+	}
+	s.advanceTakeovers()
+}
+
+// watchRemotes takes over from owners that fell silent, and answers waiters
+// whose deadline has passed with what is known: nothing.
+func (s *State) watchRemotes() {
+	for _, r := range s.sortedRemotes() {
+		if !r.taken && !s.reachable(r.row.Owner) {
+			s.takeOver(r)
+		}
+		limit := max(r.row.Deadline, s.Config.GoneAfter) + s.Config.CollectPatience + 2*s.Config.EntryLease
+		if s.now.Sub(r.startedAt) > limit && len(r.waiters) > 0 {
+			s.giveUpWaiters(r)
+		}
+	}
+	s.advanceTakeovers()
+	s.forgetTakeovers()
+}
+
+func (s *State) giveUpWaiters(r *remote) {
+	for _, w := range r.waiters {
+		s.replyRefusal(w, r.row.Key, messenger.CodeOutcomeUnknown,
+			"the owner cannot be reached and cannot be replaced yet; this attempt started nothing")
+	}
+	r.waiters = nil
+	if !r.settling {
+		delete(s.remotes, r.row.Key)
+	}
+}
+
+func (s *State) advanceTakeovers() {
+	for _, t := range s.sortedTakeovers() {
+		if t.phase == takeoverWaiting {
+			s.advanceWaiting(t)
+		}
+		if t.phase == takeoverCollecting {
+			s.conclude(t)
+		}
+	}
+}
+
+// advanceWaiting fences the owner's row once its lease has lapsed. A row that
+// names a newer incarnation, or is missing from a directory read after the
+// takeover began, needs no fence.
+func (s *State) advanceWaiting(t *takeover) {
+	if s.reachable(t.owner) {
+		return
+	}
+	if !s.renewedAt.After(t.startedAt) {
+		return
+	}
+	for _, row := range s.directory {
+		if row.Incarnation != t.owner || row.Fenced {
+			continue
+		}
+		if s.unchangedFor(row) >= s.Config.EntryLease {
+			t.phase = takeoverFencing
+			s.emit(FenceEntry{Row: row})
+		}
+		return
+	}
+	s.collect(t)
+}
+
+func (s *State) entryFenced(e EntryFenced) {
+	t := s.takeovers[e.Owner]
+	if t == nil || t.phase != takeoverFencing {
+		return
+	}
+	if e.Failed || e.Alive {
+		t.phase = takeoverWaiting
+		return
+	}
+	s.collect(t)
+}
+
+// collect fences the owner at all agents and asks for their records.
+func (s *State) collect(t *takeover) {
+	t.phase = takeoverCollecting
+	t.collectedAt = s.now
+	s.counters.Takeovers++
+	s.emit(Decision{Kind: DecisionTakeover, Endpoint: string(t.owner), Reason: "the owner's lease has lapsed"})
+	for _, r := range s.sortedRemotes() {
+		if r.row.Owner == t.owner {
+			r.taken = true
+		}
+	}
+	for _, a := range s.sorted {
+		s.fenceAgent(t, a)
+	}
+	s.conclude(t)
+}
+
+func (s *State) fenceAgent(t *takeover, a *agent) {
+	if t.phase != takeoverCollecting {
+		return
+	}
+	t.awaiting[a.incarnation] = true
+	s.send(a.incarnation, messenger.Fence{Owner: t.owner})
+}
+
+func (s *State) fenced(from messenger.Incarnation, m messenger.Fenced) {
+	t := s.takeovers[m.Owner]
+	if t == nil {
+		return
+	}
+	for _, record := range m.Records {
+		t.hold(from, record)
+	}
+	for _, outcome := range m.Witnessed {
+		t.witnessed[outcome.Key] = outcome
+	}
+	if m.Last {
+		delete(t.awaiting, from)
+		s.conclude(t)
+	}
+}
+
+// hold keeps the record that tells most: a start outweighs a tombstone of
+// another attempt.
+func (t *takeover) hold(from messenger.Incarnation, record messenger.Record) {
+	tasks := t.records[record.Task.Submission]
+	if tasks == nil {
+		tasks = make(map[int]heldRecord)
+		t.records[record.Task.Submission] = tasks
+	}
+	known, ok := tasks[record.Task.Index]
+	if !ok || weight(record) > weight(known.Record) {
+		tasks[record.Task.Index] = heldRecord{Record: record, agent: from}
+	}
+}
+
+func weight(r messenger.Record) int {
+	switch r.State {
+	case messenger.RecordFinished:
+		if r.Outcome.State == messenger.TaskSucceeded {
+			return 4
+		}
+		return 3
+	case messenger.RecordRunning:
+		return 2
+	case messenger.RecordQueued:
+		return 1
+	case messenger.RecordTombstoned:
+	}
+	return 0
+}
+
+// collectFinished takes the result of a task whose owner was replaced.
+func (s *State) collectFinished(from messenger.Incarnation, m messenger.Finished) {
+	for _, t := range s.sortedTakeovers() {
+		if _, ok := t.records[m.Task.Submission][m.Task.Index]; ok {
+			t.hold(from, messenger.Record{
+				Task: m.Task, Attempt: m.Attempt, State: messenger.RecordFinished, Outcome: m.Outcome,
+			})
+			s.conclude(t)
+		}
+	}
+}
+
+// collectRefused takes the proof that a task of a replaced owner did not start.
+func (s *State) collectRefused(from messenger.Incarnation, m messenger.Refused) {
+	for _, t := range s.sortedTakeovers() {
+		held, ok := t.records[m.Task.Submission][m.Task.Index]
+		if ok && m.NeverStarted && held.agent == from && held.Attempt == m.Attempt {
+			held.State = messenger.RecordTombstoned
+			t.records[m.Task.Submission][m.Task.Index] = held
+			s.conclude(t)
+		}
+	}
+}
+
+// agentLost stops waiting for an agent that is gone.
+func (s *State) agentLost(t *takeover, incarnation messenger.Incarnation) {
+	delete(t.awaiting, incarnation)
+	for _, tasks := range t.records {
+		for index, held := range tasks {
+			if held.agent == incarnation && held.State == messenger.RecordRunning {
+				held.State = messenger.RecordFinished
+				held.Outcome = messenger.TaskOutcome{
+					State: messenger.TaskMayHaveRun, Reason: "the agent was lost while the task ran",
+				}
+				tasks[index] = held
+			}
+		}
+	}
+	if t.phase == takeoverCollecting {
+		s.conclude(t)
+	}
+}
--- /dev/null
+++ b/internal/dispatch/coordinator/tick.go
@@ -0,0 +1,24 @@
+package coordinator
+
+// tick makes the decisions that depend on time alone.
+func (s *State) tick() {
+	s.renewTick()
+	s.watchAgents()
+	s.expireDeadlines()
+	s.settlingTick()
+	s.hedge()
+	s.watchRemotes()
+	s.expireCancels()
+	s.expireTickets()
+	s.statusTick()
+	s.drainTick()
+}
+
+func (s *State) statusTick() {
+	if s.now.Sub(s.statusAt) < s.Config.StatusInterval {
+		return
+	}
+	s.statusAt = s.now
+	s.statusToAgents()
+	s.statusToPeers()
+}
--- /dev/null
+++ b/internal/dispatch/coordinator/tickets.go
@@ -0,0 +1,150 @@
+package coordinator
+
+import (
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/burdockrudder/burdockrudder/internal/dispatch/messenger"
+	"github.com/burdockrudder/burdockrudder/internal/settings/resolver"
+)
+
+const (
+	ticketPrefix = "t."
+	// maxTicketsPerCall bounds the ids handed out at once.
+	maxTicketsPerCall = 10_000
+	numberBase        = 36
+)
+
+// ticketBook remembers the ids handed out for one service.
+type ticketBook struct {
+	next   uint64
+	blocks []ticketBlock
+	used   map[uint64]bool
+}
+
+type ticketBlock struct {
+	from, to  uint64
+	expiresAt time.Time
+}
+
+func ticketID(owner messenger.Incarnation, number uint64) string {
+	return ticketPrefix + string(owner) + "." + strconv.FormatUint(number, numberBase)
+}
+
+// ticketOwner returns the incarnation that alone may start a ticket's submission.
+func ticketOwner(id string) (messenger.Incarnation, bool) {
+	rest, ok := strings.CutPrefix(id, ticketPrefix)
+	if !ok {
+		return "", false
+	}
+	owner, number, ok := strings.Cut(rest, ".")
+	if !ok || owner == "" {
+		return "", false
+	}
+	if _, err := strconv.ParseUint(number, numberBase, 64); err != nil {
+		return "", false
+	}
+	return messenger.Incarnation(owner), true
+}
+
+func ticketNumber(id string) uint64 {
+	number, _ := strconv.ParseUint(id[strings.LastIndexByte(id, '.')+1:], numberBase, 64)
+	return number
+}
+
+func (s *State) book(key serviceKey) *ticketBook {
+	b := s.tickets[key]
+	if b == nil {
+		b = &ticketBook{used: make(map[uint64]bool)}
+		s.tickets[key] = b
+	}
+	return b
+}
+
+// issueTickets hands out a block of ids.
+func (s *State) issueTickets(e TicketsRequested) {
+	w := waiter{call: e.Call}
+	key := messenger.SubmissionKey{Firm: e.Firm, Service: e.Service}
+	if !s.lifeCycle.Is(entryActive) {
+		s.replyRefusal(w, key, messenger.CodeNotRun, "this entry is "+s.lifeCycle.Current())
+		return
+	}
+	if _, ok := s.tree.ResolveAdmission(e.Firm, e.Service); !ok {
+		s.replyRefusal(w, key, messenger.CodeNotFound, "no such service")
+		return
+	}
+	if e.Count < 1 || e.Count > maxTicketsPerCall {
+		s.replyRefusal(w, key, messenger.CodeNeverRunnable, "the count must be from 1 to "+strconv.Itoa(maxTicketsPerCall))
+		return
+	}
+	b := s.book(serviceKey{firm: e.Firm, service: e.Service})
+	from := b.next
+	b.next += uint64(e.Count)
+	b.blocks = append(b.blocks, ticketBlock{from: from, to: b.next, expiresAt: s.now.Add(s.Config.TicketLifetime)})
+	ids := make([]string, 0, e.Count)
+	for n := from; n < b.next; n++ {
+		ids = append(ids, ticketID(s.Config.Incarnation, n))
+	}
+	s.reply(w, TicketsAnswer{IDs: ids})
+}
+
+// submitTicket starts a submission whose id this incarnation handed out, with no
+// write in the path. A ticket that was used, expired or never handed out is
+// answered from the rows.
+func (s *State) submitTicket(w waiter, submission messenger.Submission, settings resolver.Resolved) {
+	key := submission.Key
+	b := s.book(serviceKey{firm: key.Firm, service: key.Service})
+	number := ticketNumber(key.ID)
+	if !b.valid(number, s.now) {
+		s.refuseAfterRead(w, submission, messenger.CodeNotRun, "the ticket has expired or was not issued by this entry")
+		return
+	}
+	if b.used[number] {
+		s.refuseAfterRead(w, submission, messenger.CodeOutcomeUnknown, "the ticket was used; its outcome is no longer here")
+		return
+	}
+	b.used[number] = true
+	j := s.newJob(submission, settings)
+	j.ticket = true
+	j.waiters = append(j.waiters, w)
+	s.startJob(j)
+}
+
+func (b *ticketBook) valid(number uint64, now time.Time) bool {
+	for _, block := range b.blocks {
+		if number >= block.from && number < block.to {
+			return now.Before(block.expiresAt)
+		}
+	}
+	return false
+}
+
+// submitForeignTicket passes a ticket to the incarnation that issued it, without
+// a read if that one is reachable.
+func (s *State) submitForeignTicket(w waiter, submission messenger.Submission, owner messenger.Incarnation) {
+	if !s.reachable(owner) {
+		s.refuseAfterRead(w, submission, messenger.CodeOutcomeUnknown, "the entry that issued the ticket cannot be reached")
+		return
+	}
+	row := IntentRow{
+		Key:      submission.Key,
+		Owner:    owner,
+		Digest:   submission.Digest,
+		Tasks:    len(submission.Tasks),
+		Deadline: submission.Deadline,
+	}
+	s.addRemote(row, &submission, []waiter{w})
+}
+
+// expireTickets forgets blocks that can no longer be used.
+func (s *State) expireTickets() {
+	for _, b := range s.tickets {
+		for len(b.blocks) > 0 && !s.now.Before(b.blocks[0].expiresAt) {
+			for n := b.blocks[0].from; n < b.blocks[0].to; n++ {
+				delete(b.used, n)
+			}
+			b.blocks = b.blocks[1:]
+		}
+	}
+}
--- /dev/null
+++ b/internal/dispatch/coordinator/view.go
@@ -0,0 +1,40 @@
+package coordinator
+
+// View returns an immutable snapshot for the traffic goroutines.
+func (s *State) View() *Snapshot {
+	view := &Snapshot{
+		Incarnation:         s.Config.Incarnation,
+		SettingsVersion:     s.version,
+		SettingsConfirmedAt: s.confirmation(),
+		LeaseRenewedAt:      s.renewedAt,
+		Tree:                s.tree,
+		Directory:           s.directory,
+		LiveSubmissions:     len(s.jobs) - len(s.settled),
+		Counters:            s.counters,
+	}
+	if s.lifeCycle != nil {
+		view.LifeCycle = s.lifeCycle.Current()
+		view.Counters.Ejections = s.index.Ejections()
+	}
+	for _, c := range s.order {
+		view.WaitingTasks += c.queue.Len()
+	}
+	for _, a := range s.sorted {
+		view.SentTasks += len(a.sent)
+		view.Endpoints = append(view.Endpoints, s.viewEndpoint(a))
+	}
+	return view
+}
+
+func (s *State) viewEndpoint(a *agent) EndpointView {
+	return EndpointView{
+		Name:            a.name,
+		Incarnation:     a.incarnation,
+		Scope:           a.scope,
+		Load:            a.load,
+		Outstanding:     len(a.sent),
+		State:           s.index.State(a.name),
+		SettingsVersion: a.settingsVersion,
+		HeardAt:         a.heardAt,
+	}
+}
--- /dev/null
+++ b/internal/dispatch/gatekeeper/results.go
@@ -0,0 +1,107 @@
+package gatekeeper
+
+import (
+	"slices"
+
+	"github.com/burdockrudder/burdockrudder/internal/dispatch/messenger"
+)
+
+// invoked takes the endpoint's answer. TaskNotRun means that the endpoint proved
+// that it did not start the task.
+func (s *State) invoked(e Invoked) {
+	r := s.records[e.Task]
+	if r == nil || r.attempt != e.Attempt || r.state != messenger.RecordRunning {
+		return
+	}
+	s.running--
+	if e.Outcome.State == messenger.TaskNotRun {
+		// The endpoint takes nothing now; its next announcement brings it back.
+		s.announcedAt = s.now.Add(-2 * announceLifetime)
+		s.returnRecord(r, messenger.RefusedNoEndpoint)
+	} else {
+		r.state = messenger.RecordFinished
+		r.outcome = e.Outcome
+		r.runTime = e.RunTime
+		s.keepResult(r)
+		s.startQueued()
+		for _, to := range s.listeners(r) {
+			s.sendFinished(to, r)
+		}
+	}
+	s.checkDrained()
+}
+
+func (s *State) sendFinished(to messenger.Incarnation, r *record) {
+	s.send(to, messenger.Finished{
+		Task: r.task, Attempt: r.attempt, Outcome: r.outcome, RunTime: r.runTime, Load: s.shortLoad(),
+	})
+}
+
+// keepResult keeps the result for copies of the start and for takeovers, and
+// drops the oldest results beyond the bound.
+func (s *State) keepResult(r *record) {
+	s.results = append(s.results, r)
+	s.resultBytes += len(r.outcome.Result)
+	for s.resultBytes > maxResultBytes {
+		oldest := s.results[0]
+		s.results = s.results[1:]
+		s.resultBytes -= len(oldest.outcome.Result)
+		oldest.outcome = messenger.TaskOutcome{
+			State: messenger.TaskMayHaveRun, Reason: "the task ran; its result is no longer kept",
+		}
+	}
+}
+
+// cancel leaves a tombstone unless the task has started.
+func (s *State) cancel(from messenger.Incarnation, m messenger.Cancel) {
+	r := s.records[m.Task]
+	switch {
+	case r == nil || (r.state == messenger.RecordTombstoned && m.Attempt > r.attempt):
+		r = &record{task: m.Task, attempt: m.Attempt, owner: from, state: messenger.RecordTombstoned}
+		s.keep(r)
+	case m.Attempt < r.attempt:
+		return
+	case r.state == messenger.RecordQueued:
+		s.queue = slices.DeleteFunc(s.queue, func(q *record) bool { return q == r })
+		r.state = messenger.RecordTombstoned
+		r.payload = nil
+	}
+	s.send(from, messenger.Cancelled{Task: m.Task, Attempt: m.Attempt, State: r.state})
+	if r.state == messenger.RecordFinished {
+		s.sendFinished(from, r)
+	}
+}
+
+func (s *State) expire() {
+	for len(s.expiring) > 0 && !s.expiring[0].at.After(s.now) {
+		old := s.expiring[0]
+		s.expiring = s.expiring[1:]
+		s.expireRecord(old)
+	}
+	for owner, f := range s.fenced {
+		if s.now.Sub(f.at) > fenceHorizon {
+			delete(s.fenced, owner)
+		}
+	}
+	for key, w := range s.witnessed {
+		if s.now.Sub(w.at) > s.recordHorizon() {
+			delete(s.witnessed, key)
+		}
+	}
+	for len(s.results) > 0 && s.records[s.results[0].task] != s.results[0] {
+		s.resultBytes -= len(s.results[0].outcome.Result)
+		s.results = s.results[1:]
+	}
+}
+
+func (s *State) expireRecord(old expiry) {
+	r := s.records[old.task]
+	switch {
+	case r == nil || r.keepUntil.After(old.at):
+		// A later attempt has renewed the record and has an expiry of its own.
+	case r.state == messenger.RecordQueued || r.state == messenger.RecordRunning:
+		s.keep(r)
+	default:
+		delete(s.records, old.task)
+	}
+}
--- /dev/null
+++ b/internal/dispatch/gatekeeper/starts.go
@@ -0,0 +1,210 @@
+package gatekeeper
+
+import (
+	"slices"
+	"time"
+
+	"github.com/burdockrudder/burdockrudder/internal/dispatch/messenger"
+)
+
+func (s *State) received(from messenger.Incarnation, m messenger.Message) {
+	switch m := m.(type) {
+	case messenger.Status:
+		s.status(m)
+	case messenger.Start:
+		s.start(from, m)
+	case messenger.Cancel:
+		s.cancel(from, m)
+	case messenger.Fence:
+		s.fence(from, m)
+	case messenger.Witness:
+		s.witness(from, m)
+	default:
+		// Other messages are not for agents; a neighbouring version may send them.
+	}
+}
+
+// start is the gate: it decides whether an attempt starts, waits or is refused.
+func (s *State) start(from messenger.Incarnation, m messenger.Start) {
+	if m.AgentIncarnation != s.Incarnation {
+		// Another incarnation may have started it, so this is no proof.
+		s.refuse(from, m, messenger.RefusedIncarnation, false)
+		return
+	}
+	known := s.records[m.Task]
+	if known != nil && s.answerKnown(from, m, known) {
+		return
+	}
+	if reason, refused := s.refusal(m); refused {
+		s.refuseForGood(from, m, reason)
+		return
+	}
+	r := s.newRecord(m)
+	if s.running < s.endpoint.Slots {
+		s.invoke(r)
+		return
+	}
+	s.enqueue(r)
+}
+
+// answerKnown answers a start whose task has a record. It returns false if the
+// start is a new attempt that may be considered.
+func (s *State) answerKnown(from messenger.Incarnation, m messenger.Start, r *record) bool {
+	switch {
+	case m.Attempt < r.attempt:
+		// A late copy of an attempt that the owner has given up.
+		return true
+	case m.Attempt == r.attempt && m.Owner == r.owner:
+		s.repeatAnswer(from, r)
+		return true
+	case r.state == messenger.RecordTombstoned:
+		return false
+	case r.repeatable && r.state == messenger.RecordFinished:
+		return false
+	case r.repeatable:
+		s.refuse(from, m, messenger.RefusedStarted, true)
+		return true
+	default:
+		s.refuse(from, m, messenger.RefusedStarted, false)
+		return true
+	}
+}
+
+// repeatAnswer answers a copy of a start that was handled before.
+func (s *State) repeatAnswer(from messenger.Incarnation, r *record) {
+	switch r.state {
+	case messenger.RecordFinished:
+		s.sendFinished(from, r)
+	case messenger.RecordTombstoned:
+		s.send(from, messenger.Refused{
+			Task: r.task, Attempt: r.attempt, Reason: messenger.RefusedTombstone,
+			NeverStarted: true, Load: s.shortLoad(),
+		})
+	case messenger.RecordQueued, messenger.RecordRunning:
+		// The answer follows when the task ends.
+	}
+}
+
+func (s *State) refusal(m messenger.Start) (messenger.RefusalReason, bool) {
+	if s.fenced[m.Owner] != nil {
+		return messenger.RefusedFenced, true
+	}
+	if reason, blocked := s.blocked(); blocked {
+		return reason, true
+	}
+	sent, ok := s.sentTime(m.ReportSequence)
+	if !ok || s.now.Sub(sent) > s.settings.StartFreshness {
+		return messenger.RefusedStale, true
+	}
+	if m.TimeLeft <= 0 {
+		return messenger.RefusedExpired, true
+	}
+	if s.running >= s.endpoint.Slots && len(s.queue) >= s.settings.QueueLimit {
+		return messenger.RefusedQueueFull, true
+	}
+	return "", false
+}
+
+func (s *State) refuse(to messenger.Incarnation, m messenger.Start, reason messenger.RefusalReason, never bool) {
+	s.emit(Decision{Task: m.Task, Attempt: m.Attempt, Owner: m.Owner, Reason: reason})
+	s.send(to, messenger.Refused{
+		Task: m.Task, Attempt: m.Attempt, Reason: reason, NeverStarted: never, Load: s.shortLoad(),
+	})
+}
+
+// refuseForGood leaves a tombstone, which makes the refusal a proof.
+func (s *State) refuseForGood(to messenger.Incarnation, m messenger.Start, reason messenger.RefusalReason) {
+	r := s.newRecord(m)
+	r.state = messenger.RecordTombstoned
+	r.payload = nil
+	s.refuse(to, m, reason, true)
+}
+
+func (s *State) newRecord(m messenger.Start) *record {
+	r := &record{
+		task:       m.Task,
+		attempt:    m.Attempt,
+		owner:      m.Owner,
+		repeatable: m.Repeatable,
+		priority:   m.Priority,
+		payload:    m.Payload,
+		deadline:   s.now.Add(m.TimeLeft),
+	}
+	s.keep(r)
+	return r
+}
+
+func (s *State) keep(r *record) {
+	r.keepUntil = s.now.Add(s.recordHorizon())
+	s.records[r.task] = r
+	s.expiring = append(s.expiring, expiry{task: r.task, at: r.keepUntil})
+}
+
+// recordHorizon falls back to the default while no settings are known: a
+// tombstone that expired at once would let a copy of the refused start through.
+func (s *State) recordHorizon() time.Duration {
+	return max(s.settings.RecordHorizon, minRecordHorizon)
+}
+
+func (s *State) invoke(r *record) {
+	r.state = messenger.RecordRunning
+	s.running++
+	s.emit(Decision{Task: r.task, Attempt: r.attempt, Owner: r.owner, Started: true})
+	s.emit(Invoke{Task: r.task, Attempt: r.attempt, Payload: r.payload, TimeLeft: r.deadline.Sub(s.now)})
+	r.payload = nil
+}
+
+// enqueue inserts the record behind those of the same or a higher priority.
+func (s *State) enqueue(r *record) {
+	r.state = messenger.RecordQueued
+	at := len(s.queue)
+	for at > 0 && s.queue[at-1].priority < r.priority {
+		at--
+	}
+	s.queue = slices.Insert(s.queue, at, r)
+}
+
+func (s *State) startQueued() {
+	for len(s.queue) > 0 && s.running < s.endpoint.Slots {
+		r := s.queue[0]
+		s.queue = s.queue[1:]
+		if reason, blocked := s.blocked(); blocked {
+			s.returnRecord(r, reason)
+			continue
+		}
+		if !r.deadline.After(s.now) {
+			s.returnRecord(r, messenger.RefusedExpired)
+			continue
+		}
+		s.invoke(r)
+	}
+}
+
+// returnQueue hands all queued tasks back with proof that they never start.
+func (s *State) returnQueue(reason messenger.RefusalReason) {
+	queue := s.queue
+	s.queue = nil
+	for _, r := range queue {
+		s.returnRecord(r, reason)
+	}
+}
+
+func (s *State) returnRecord(r *record, reason messenger.RefusalReason) {
+	r.state = messenger.RecordTombstoned
+	r.payload = nil
+	s.emit(Decision{Task: r.task, Attempt: r.attempt, Owner: r.owner, Reason: reason})
+	for _, to := range s.listeners(r) {
+		s.send(to, messenger.Refused{
+			Task: r.task, Attempt: r.attempt, Reason: reason, NeverStarted: true, Load: s.shortLoad(),
+		})
+	}
+}
+
+// listeners returns who is to hear of a record: its owner, or the entries that
+// fenced the owner.
+func (s *State) listeners(r *record) []messenger.Incarnation {
+	if f := s.fenced[r.owner]; f != nil {
+		return f.collectors
+	}
+	return []messenger.Incarnation{r.owner}
+}
--- /dev/null
+++ b/internal/dispatch/gatekeeper/state.go
@@ -0,0 +1,191 @@
+package gatekeeper
+
+import (
+	"time"
+
+	"github.com/looplab/fsm"
+
+	"github.com/burdockrudder/burdockrudder/internal/dispatch/messenger"
+)
+
+// Limits of what an agent keeps. They hold the process well under its 64 MB.
+const (
+	// maxResultBytes bounds the results kept for resumed links and takeovers.
+	maxResultBytes = 16 << 20
+	// maxRecordsPerPart bounds one Fenced message.
+	maxRecordsPerPart = 256
+	// fenceHorizon is how long a fenced incarnation is remembered. A start of a
+	// fenced entry can be no older than StartFreshness, so a day is ample.
+	fenceHorizon = 24 * time.Hour
+	// announceLifetime is how long an endpoint's announcement holds; endpoints
+	// renew it every second.
+	announceLifetime = 3500 * time.Millisecond
+	// minRecordHorizon exceeds the longest deadline, 5 min, plus the age that a
+	// start can have when it arrives.
+	minRecordHorizon = 6 * time.Minute
+	// reportTimes is how many sent reports are remembered to date an echo.
+	reportTimes = 64
+)
+
+// State is an agent's decision state. Its exported fields are set before the
+// first Handle. It is used by one goroutine.
+type State struct {
+	Name        string
+	Incarnation messenger.Incarnation
+	// ReportInterval is the time between reports; 0 means 500 ms.
+	ReportInterval time.Duration
+
+	now       time.Time
+	effects   []Effect
+	lifeCycle *fsm.FSM
+
+	settings    messenger.AgentSettings
+	confirmedAt time.Time
+	directory   []messenger.EntryAddress
+
+	endpoint    EndpointAnnounced
+	announcedAt time.Time
+
+	sequence   uint64
+	sentAt     [reportTimes]time.Time
+	reportedAt time.Time
+	entries    map[messenger.Incarnation]bool
+
+	records     map[messenger.TaskKey]*record
+	expiring    []expiry
+	queue       []*record
+	running     int
+	results     []*record
+	resultBytes int
+
+	fenced    map[messenger.Incarnation]*fence
+	witnessed map[messenger.SubmissionKey]witness
+}
+
+// record is what the agent knows of a task. It outlives the task, so that no
+// attempt of it starts again.
+type record struct {
+	task       messenger.TaskKey
+	attempt    int
+	state      messenger.RecordState
+	owner      messenger.Incarnation
+	repeatable bool
+	priority   messenger.Priority
+	payload    []byte
+	deadline   time.Time
+	outcome    messenger.TaskOutcome
+	runTime    time.Duration
+	keepUntil  time.Time
+}
+
+type expiry struct {
+	task messenger.TaskKey
+	at   time.Time
+}
+
+// fence marks a replaced entry and the entries that collect its results.
+type fence struct {
+	at         time.Time
+	collectors []messenger.Incarnation
+}
+
+type witness struct {
+	owner   messenger.Incarnation
+	outcome messenger.Outcome
+	at      time.Time
+}
+
+// Handle applies one event and returns the effects in the order in which they
+// are to be carried out.
+func (s *State) Handle(now time.Time, event Event) []Effect {
+	s.prepare()
+	s.now = now
+	s.effects = nil
+	switch e := event.(type) {
+	case Tick:
+		s.tick()
+	case EntryLinked:
+		s.entries[e.Entry] = true
+		s.report(e.Entry)
+	case EntryUnlinked:
+		delete(s.entries, e.Entry)
+	case Received:
+		s.received(e.From, e.Message)
+	case EndpointAnnounced:
+		s.announced(e)
+	case EndpointDeparting:
+		s.step(eventDepart)
+		s.returnQueue(messenger.RefusedDraining)
+		s.reportAll()
+	case Invoked:
+		s.invoked(e)
+	case DrainRequested:
+		s.step(eventDrain)
+		s.returnQueue(messenger.RefusedDraining)
+		s.reportAll()
+		s.checkDrained()
+	}
+	return s.effects
+}
+
+func (s *State) prepare() {
+	if s.lifeCycle != nil {
+		return
+	}
+	s.lifeCycle = newLifeCycle()
+	s.entries = make(map[messenger.Incarnation]bool)
+	s.records = make(map[messenger.TaskKey]*record)
+	s.fenced = make(map[messenger.Incarnation]*fence)
+	s.witnessed = make(map[messenger.SubmissionKey]witness)
+	if s.ReportInterval == 0 {
+		s.ReportInterval = 500 * time.Millisecond
+	}
+}
+
+func (s *State) emit(effect Effect) {
+	s.effects = append(s.effects, effect)
+}
+
+func (s *State) send(to messenger.Incarnation, m messenger.Message) {
+	s.emit(Send{To: to, Message: m})
+}
+
+func (s *State) tick() {
+	if s.now.Sub(s.reportedAt) >= s.ReportInterval {
+		s.reportAll()
+	}
+	if reason, blocked := s.blocked(); blocked {
+		s.returnQueue(reason)
+	}
+	s.startQueued()
+	s.expire()
+}
+
+// load returns the endpoint's load as told to the entries. An endpoint that may
+// start nothing has no slots.
+func (s *State) load() messenger.EndpointLoad {
+	load := messenger.EndpointLoad{
+		Service:  s.endpoint.Service,
+		Labels:   s.endpoint.Labels,
+		Slots:    s.endpoint.Slots,
+		Running:  s.running,
+		Queued:   len(s.queue),
+		Draining: !s.lifeCycle.Is(stateServing),
+	}
+	if s.endpointLapsed() {
+		load.Slots = 0
+	}
+	return load
+}
+
+// shortLoad omits what does not change from message to message.
+func (s *State) shortLoad() messenger.EndpointLoad {
+	load := s.load()
+	load.Service = ""
+	load.Labels = nil
+	return load
+}
+
+func (s *State) endpointLapsed() bool {
+	return s.now.Sub(s.announcedAt) > announceLifetime
+}
--- a/internal/dispatch/messenger/messages.go
+++ b/internal/dispatch/messenger/messages.go
@@ -174,6 +174,8 @@
 	Call       uint64     `json:"call"`
 	Submission Submission `json:"submission"`
 	Cancel     bool       `json:"cancel,omitempty"`
+	// Prefix makes a cancel apply to all ids that start with the submission's id.
+	Prefix bool `json:"prefix,omitempty"`
 }
 
 // Forwarded answers a forward. Outcome is nil if the owner gave no outcome;
@@ -182,6 +184,8 @@
 	Call    uint64   `json:"call"`
 	Outcome *Outcome `json:"outcome,omitempty"`
 	Refusal *Refusal `json:"refusal,omitempty"`
+	// Cancelled counts the submissions that a forwarded cancel found.
+	Cancelled int `json:"cancelled,omitempty"`
 }
 
 // Ping probes a link; a link that is otherwise idle carries one.
--- /dev/null
+++ b/internal/proof/driver/agents.go
@@ -0,0 +1,107 @@
+package driver
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/burdockrudder/burdockrudder/internal/dispatch/coordinator"
+	"github.com/burdockrudder/burdockrudder/internal/dispatch/gatekeeper"
+	"github.com/burdockrudder/burdockrudder/internal/dispatch/messenger"
+)
+
+const (
+	firmName    = "lamis"
+	placeName   = "sahel"
+	serviceName = "dispatch"
+)
+
+// Payload is what the fake endpoint understands.
+type Payload struct {
+	RunTime time.Duration `json:"run_time"`
+	Fail    bool          `json:"fail,omitempty"`
+	Echo    string        `json:"echo,omitempty"`
+}
+
+// agentNode drives the decision state of one agent incarnation and fakes its endpoint.
+type agentNode struct {
+	world       *World
+	name        string
+	domain      string
+	incarnation messenger.Incarnation
+	state       *gatekeeper.State
+	dead        bool
+	drained     bool
+	broken      bool
+}
+
+func (w *World) startAgent(name, domain string) {
+	node := &agentNode{world: w, name: name, domain: domain, incarnation: w.newIncarnation(name)}
+	node.state = &gatekeeper.State{Name: name, Incarnation: node.incarnation}
+	w.agents[name] = node
+	w.tickAgent(node)
+	w.announce(node)
+	w.linkAll()
+}
+
+func (w *World) tickAgent(node *agentNode) {
+	if node.dead {
+		return
+	}
+	node.handle(gatekeeper.Tick{})
+	w.push(w.now.Add(coordinator.TickInterval), func() { w.tickAgent(node) })
+}
+
+func (w *World) announce(node *agentNode) {
+	if node.dead {
+		return
+	}
+	node.handle(gatekeeper.EndpointAnnounced{Service: serviceName, Slots: w.Slots})
+	w.push(w.now.Add(announceEvery), func() { w.announce(node) })
+}
+
+func (n *agentNode) hello() messenger.Hello {
+	return messenger.Hello{
+		Role: messenger.RoleAgent, Name: n.name, Incarnation: n.incarnation,
+		Firm: firmName, Place: placeName, FailureDomain: n.domain,
+	}
+}
+
+func (n *agentNode) handle(event gatekeeper.Event) {
+	if n.dead {
+		return
+	}
+	for _, effect := range n.state.Handle(n.world.now, event) {
+		n.carryOut(effect)
+	}
+}
+
+func (n *agentNode) carryOut(effect gatekeeper.Effect) {
+	w := n.world
+	switch e := effect.(type) {
+	case gatekeeper.Send:
+		w.deliver(n.name, n.incarnation, e.To, e.Message)
+	case gatekeeper.Invoke:
+		w.invoke(n, e)
+	case gatekeeper.Drained:
+		n.drained = true
+	case gatekeeper.DirectoryChanged, gatekeeper.Decision:
+	}
+}
+
+// invoke starts a task at the fake endpoint, which outlives its agent.
+func (w *World) invoke(n *agentNode, e gatekeeper.Invoke) {
+	w.Starts = append(w.Starts, EndpointStart{
+		Task: e.Task, Attempt: e.Attempt, Agent: n.name, FailureDomain: n.domain, At: w.Elapsed(),
+	})
+	var payload Payload
+	if err := json.Unmarshal(e.Payload, &payload); err != nil {
+		panic(err)
+	}
+	outcome := messenger.TaskOutcome{State: messenger.TaskSucceeded, Result: []byte(payload.Echo)}
+	if payload.Fail || n.broken {
+		outcome = messenger.TaskOutcome{State: messenger.TaskFailed, Reason: "the endpoint failed the task"}
+	}
+	w.after(payload.RunTime, func() {
+		n.handle(gatekeeper.Invoked{Task: e.Task, Attempt: e.Attempt, Outcome: outcome, RunTime: payload.RunTime})
+	})
+}
--- /dev/null
+++ b/internal/proof/driver/driver.go
@@ -0,0 +1,177 @@
+// Package driver runs the decision code of several entries and agents with small
+// fakes of the table, the links and the endpoints, on a virtual clock and with a
+// seed. The same seed and the same calls give the same run.
+package driver
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/burdockrudder/burdockrudder/internal/dispatch/coordinator"
+	"github.com/burdockrudder/burdockrudder/internal/dispatch/messenger"
+	"github.com/burdockrudder/burdockrudder/internal/settings/resolver"
+)
+
+// Delays of the fakes, as in the deployments of the design page.
+const (
+	linkDelay     = 500 * time.Microsecond
+	writeLatency  = 4 * time.Millisecond
+	readLatency   = time.Millisecond
+	storePatience = 2 * time.Second
+	storeRetry    = 200 * time.Millisecond
+	settingsPoll  = 500 * time.Millisecond
+	announceEvery = time.Second
+)
+
+// World is a run. Its exported fields are set before Start.
+type World struct {
+	Seed    uint64
+	Entries int
+	// Domains names the failure domains; the agents are spread over them in turn.
+	Domains []string
+	Agents  int
+	Slots   int
+	// Tree are the settings of version 1.
+	Tree resolver.Tree
+	// LoseReplies is the share of table writes whose reply is lost.
+	LoseReplies float64
+
+	// Starts lists every start that an endpoint has seen.
+	Starts []EndpointStart
+	// Answers lists every answer that a caller has got.
+	Answers []CallerAnswer
+	// Calls lists every call that a caller has made.
+	Calls []CallerCall
+	// Accepted lists the accepted changes of the settings.
+	Accepted []AcceptedChange
+	// OnEvent, if set, sees each event before an entry handles it.
+	OnEvent func(entry messenger.Incarnation, now time.Time, event coordinator.Event)
+
+	random   *rand.Rand
+	now      time.Time
+	begin    time.Time
+	schedule timeline
+	sequence uint64
+	entries  map[string]*entryNode
+	agents   map[string]*agentNode
+	lastCall coordinator.CallID
+	table    fakeTable
+	cuts     map[[2]string]bool
+	restarts int
+}
+
+// EndpointStart is one start as seen by the endpoint.
+type EndpointStart struct {
+	Task          messenger.TaskKey
+	Attempt       int
+	Agent         string
+	FailureDomain string
+	At            time.Duration
+}
+
+// CallerCall is one call of a caller.
+type CallerCall struct {
+	Call  coordinator.CallID
+	Entry string
+	Event coordinator.Event
+	At    time.Duration
+}
+
+// CallerAnswer is one answer to a caller.
+type CallerAnswer struct {
+	Call   coordinator.CallID
+	Answer coordinator.Answer
+	At     time.Duration
+}
+
+// AcceptedChange is a change of the settings that was accepted.
+type AcceptedChange struct {
+	Version uint64
+	At      time.Duration
+}
+
+// Start starts the entries and the agents.
+func (w *World) Start() {
+	w.random = rand.New(rand.NewPCG(w.Seed, w.Seed))
+	w.begin = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	w.now = w.begin
+	w.entries = make(map[string]*entryNode)
+	w.agents = make(map[string]*agentNode)
+	w.cuts = make(map[[2]string]bool)
+	w.table = newFakeTable(w.Tree)
+	for i := range w.Entries {
+		w.startEntry(fmt.Sprintf("entry-%d", i+1))
+	}
+	for i := range w.Agents {
+		w.startAgent(fmt.Sprintf("agent-%02d", i+1), w.Domains[i%len(w.Domains)])
+	}
+}
+
+// Elapsed returns the time since the start of the run.
+func (w *World) Elapsed() time.Duration {
+	return w.now.Sub(w.begin)
+}
+
+// Run advances the run to the given time since its start.
+func (w *World) Run(until time.Duration) {
+	end := w.begin.Add(until)
+	for len(w.schedule) > 0 && !w.schedule[0].at.After(end) {
+		next := heap.Pop(&w.schedule).(scheduled)
+		w.now = next.at
+		next.do()
+	}
+	w.now = end
+}
+
+// At schedules a step of the test at the given time since the start.
+func (w *World) At(at time.Duration, do func()) {
+	w.push(w.begin.Add(at), do)
+}
+
+// after schedules a step with some jitter, so that seeds differ in their order.
+func (w *World) after(delay time.Duration, do func()) {
+	jitter := time.Duration(w.random.Int64N(int64(delay)/4 + 1))
+	w.push(w.now.Add(delay+jitter), do)
+}
+
+func (w *World) push(at time.Time, do func()) {
+	w.sequence++
+	heap.Push(&w.schedule, scheduled{at: at, sequence: w.sequence, do: do})
+}
+
+// newIncarnation draws the next incarnation of a process.
+func (w *World) newIncarnation(name string) messenger.Incarnation {
+	w.restarts++
+	return messenger.Incarnation(fmt.Sprintf("%s~%d", name, w.restarts))
+}
+
+type scheduled struct {
+	at       time.Time
+	sequence uint64
+	do       func()
+}
+
+// timeline orders steps by time for container/heap.
+type timeline []scheduled
+
+func (t timeline) Len() int { return len(t) }
+func (t timeline) Less(i, j int) bool {
+	if t[i].at.Equal(t[j].at) {
+		return t[i].sequence < t[j].sequence
+	}
+	return t[i].at.Before(t[j].at)
+}
+func (t timeline) Swap(i, j int) { t[i], t[j] = t[j], t[i] }
+
+// Push adds a step; container/heap calls it.
+func (t *timeline) Push(x any) { *t = append(*t, x.(scheduled)) }
+
+// Pop removes the last step; container/heap calls it.
+func (t *timeline) Pop() any {
+	old := *t
+	last := old[len(old)-1]
+	*t = old[:len(old)-1]
+	return last
+}
--- /dev/null
+++ b/internal/proof/driver/entries.go
@@ -0,0 +1,192 @@
+package driver
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/burdockrudder/burdockrudder/internal/dispatch/coordinator"
+	"github.com/burdockrudder/burdockrudder/internal/dispatch/gatekeeper"
+	"github.com/burdockrudder/burdockrudder/internal/dispatch/messenger"
+)
+
+// entryNode drives the decision state of one entry incarnation.
+type entryNode struct {
+	world       *World
+	name        string
+	incarnation messenger.Incarnation
+	state       *coordinator.State
+	dead        bool
+	exited      bool
+	pausedUntil time.Time
+}
+
+func (w *World) startEntry(name string) {
+	incarnation := w.newIncarnation(name)
+	node := &entryNode{
+		world:       w,
+		name:        name,
+		incarnation: incarnation,
+		state: &coordinator.State{
+			Config: coordinator.Defaults(name, incarnation, name),
+			Random: rand.New(rand.NewPCG(w.Seed, uint64(w.restarts))),
+		},
+	}
+	w.entries[name] = node
+	w.tickEntry(node)
+	w.pollSettings(node)
+	w.linkAll()
+}
+
+func (w *World) tickEntry(node *entryNode) {
+	if node.stopped() {
+		return
+	}
+	node.handle(coordinator.Tick{})
+	w.push(w.now.Add(coordinator.TickInterval), func() { w.tickEntry(node) })
+}
+
+func (w *World) pollSettings(node *entryNode) {
+	if node.stopped() {
+		return
+	}
+	sentAt := w.now
+	w.after(readLatency, func() {
+		if w.table.reachable(node.name) {
+			tree := w.table.tree
+			node.handle(coordinator.SettingsRead{SentAt: sentAt, Version: w.table.version, Tree: &tree})
+		}
+	})
+	w.push(w.now.Add(settingsPoll), func() { w.pollSettings(node) })
+}
+
+func (n *entryNode) stopped() bool {
+	return n.dead || n.exited
+}
+
+// handle passes an event to the state, at the end of a pause if there is one.
+func (n *entryNode) handle(event coordinator.Event) {
+	if n.stopped() {
+		return
+	}
+	if n.pausedUntil.After(n.world.now) {
+		if _, tick := event.(coordinator.Tick); !tick {
+			n.world.push(n.pausedUntil, func() { n.handle(event) })
+		}
+		return
+	}
+	if n.world.OnEvent != nil {
+		n.world.OnEvent(n.incarnation, n.world.now, event)
+	}
+	for _, effect := range n.state.Handle(n.world.now, event) {
+		n.carryOut(effect)
+	}
+}
+
+func (n *entryNode) carryOut(effect coordinator.Effect) {
+	w := n.world
+	switch e := effect.(type) {
+	case coordinator.Reply:
+		w.Answers = append(w.Answers, CallerAnswer{Call: e.Call, Answer: e.Answer, At: w.Elapsed()})
+	case coordinator.Send:
+		w.deliver(n.name, n.incarnation, e.To, e.Message)
+	case coordinator.CommitIntent:
+		w.commitIntent(n, e.Row, w.now.Add(storePatience))
+	case coordinator.ReadIntent:
+		w.readIntent(n, e.Key, w.now.Add(storePatience))
+	case coordinator.CommitOutcome:
+		w.commitOutcome(n, e.Outcome)
+	case coordinator.RenewLease:
+		w.renewLease(n, e.Renewal)
+	case coordinator.FenceEntry:
+		w.fenceEntry(n, e.Row)
+	case coordinator.Drained, coordinator.Exit:
+		n.exited = true
+	case coordinator.Decision:
+	}
+}
+
+// linkAll links all live processes that are not linked or were mended.
+func (w *World) linkAll() {
+	for _, entry := range w.sortedEntries() {
+		for _, agent := range w.sortedAgents() {
+			w.linkAgent(entry, agent)
+		}
+		for _, other := range w.sortedEntries() {
+			if other != entry {
+				w.linkPeer(entry, other)
+			}
+		}
+	}
+}
+
+func (w *World) linkAgent(entry *entryNode, agent *agentNode) {
+	w.after(linkDelay, func() {
+		if entry.stopped() || agent.dead || w.cuts[pair(entry.name, agent.name)] {
+			return
+		}
+		entry.handle(coordinator.AgentLinked{Hello: agent.hello()})
+		agent.handle(gatekeeper.EntryLinked{Entry: entry.incarnation})
+	})
+}
+
+func (w *World) linkPeer(entry, other *entryNode) {
+	w.after(linkDelay, func() {
+		if entry.stopped() || other.stopped() || w.cuts[pair(entry.name, other.name)] {
+			return
+		}
+		entry.handle(coordinator.PeerLinked{Name: other.name, Incarnation: other.incarnation})
+	})
+}
+
+// deliver carries a message to a process, in order, unless the link is cut when
+// it is sent or when it arrives.
+func (w *World) deliver(from string, sender, to messenger.Incarnation, m messenger.Message) {
+	data, err := messenger.Encode(m)
+	if err != nil {
+		panic(err)
+	}
+	decoded, err := messenger.Decode(data)
+	if err != nil {
+		panic(err)
+	}
+	w.push(w.now.Add(linkDelay), func() { w.arrive(from, sender, to, decoded) })
+}
+
+func (w *World) arrive(from string, sender, to messenger.Incarnation, m messenger.Message) {
+	for _, entry := range w.sortedEntries() {
+		if entry.incarnation == to && !w.cuts[pair(from, entry.name)] {
+			entry.handle(coordinator.Received{From: sender, Message: m})
+		}
+	}
+	for _, agent := range w.sortedAgents() {
+		if agent.incarnation == to && !w.cuts[pair(from, agent.name)] {
+			agent.handle(gatekeeper.Received{From: sender, Message: m})
+		}
+	}
+}
+
+func (w *World) sortedEntries() []*entryNode {
+	nodes := make([]*entryNode, 0, len(w.entries))
+	for _, name := range sortedNames(w.entries) {
+		nodes = append(nodes, w.entries[name])
+	}
+	return nodes
+}
+
+func (w *World) sortedAgents() []*agentNode {
+	nodes := make([]*agentNode, 0, len(w.agents))
+	for _, name := range sortedNames(w.agents) {
+		nodes = append(nodes, w.agents[name])
+	}
+	return nodes
+}
+
+func sortedNames[T any](nodes map[string]T) []string {
+	names := make([]string, 0, len(nodes))
+	for name := range nodes {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return names
+}
--- /dev/null
+++ b/internal/proof/driver/table.go
@@ -0,0 +1,163 @@
+package driver
+
+import (
+	"time"
+
+	"github.com/burdockrudder/burdockrudder/internal/dispatch/coordinator"
+	"github.com/burdockrudder/burdockrudder/internal/dispatch/messenger"
+	"github.com/burdockrudder/burdockrudder/internal/settings/resolver"
+)
+
+// fakeTable fakes the platform's table and the edge that retries on it.
+type fakeTable struct {
+	down     bool
+	downFor  map[string]bool
+	intents  map[messenger.SubmissionKey]coordinator.IntentRow
+	outcomes map[messenger.SubmissionKey]messenger.Outcome
+	entries  map[string]coordinator.EntryRow
+	version  uint64
+	tree     resolver.Tree
+}
+
+func newFakeTable(tree resolver.Tree) fakeTable {
+	return fakeTable{
+		downFor:  make(map[string]bool),
+		intents:  make(map[messenger.SubmissionKey]coordinator.IntentRow),
+		outcomes: make(map[messenger.SubmissionKey]messenger.Outcome),
+		entries:  make(map[string]coordinator.EntryRow),
+		version:  1,
+		tree:     tree,
+	}
+}
+
+func (t *fakeTable) reachable(entry string) bool {
+	return !t.down && !t.downFor[entry]
+}
+
+// replyLost draws whether the reply to a write that took effect is lost.
+func (w *World) replyLost() bool {
+	return w.random.Float64() < w.LoseReplies
+}
+
+func (w *World) commitIntent(n *entryNode, row coordinator.IntentRow, giveUp time.Time) {
+	w.after(writeLatency, func() {
+		if w.table.reachable(n.name) {
+			if _, ok := w.table.intents[row.Key]; !ok {
+				w.table.intents[row.Key] = row
+			}
+			if !w.replyLost() {
+				n.handle(w.table.intentSettled(row.Key))
+				return
+			}
+		}
+		w.retryOrFail(n, row.Key, giveUp, func() { w.commitIntent(n, row, giveUp) })
+	})
+}
+
+func (w *World) readIntent(n *entryNode, key messenger.SubmissionKey, giveUp time.Time) {
+	w.after(readLatency, func() {
+		if w.table.reachable(n.name) {
+			n.handle(w.table.intentSettled(key))
+			return
+		}
+		w.retryOrFail(n, key, giveUp, func() { w.readIntent(n, key, giveUp) })
+	})
+}
+
+func (w *World) retryOrFail(n *entryNode, key messenger.SubmissionKey, giveUp time.Time, retry func()) {
+	if n.stopped() {
+		return
+	}
+	if !w.now.Before(giveUp) {
+		n.handle(coordinator.IntentSettled{Key: key, Failed: true})
+		return
+	}
+	w.after(storeRetry, retry)
+}
+
+func (t *fakeTable) intentSettled(key messenger.SubmissionKey) coordinator.IntentSettled {
+	settled := coordinator.IntentSettled{Key: key}
+	if row, ok := t.intents[key]; ok {
+		settled.Row = &row
+	}
+	if outcome, ok := t.outcomes[key]; ok {
+		settled.Outcome = &outcome
+	}
+	return settled
+}
+
+func (w *World) commitOutcome(n *entryNode, outcome messenger.Outcome) {
+	w.after(writeLatency, func() {
+		if n.stopped() {
+			return
+		}
+		if w.table.reachable(n.name) {
+			if _, ok := w.table.outcomes[outcome.Key]; !ok {
+				w.table.outcomes[outcome.Key] = outcome
+			}
+			if !w.replyLost() {
+				row := w.table.outcomes[outcome.Key]
+				n.handle(coordinator.OutcomeSettled{Key: outcome.Key, Outcome: &row})
+				return
+			}
+		}
+		n.handle(coordinator.OutcomeSettled{Key: outcome.Key, Failed: true})
+		w.after(storeRetry, func() { w.commitOutcome(n, outcome) })
+	})
+}
+
+func (w *World) renewLease(n *entryNode, renewal uint64) {
+	w.after(writeLatency, func() {
+		if !w.table.reachable(n.name) || w.replyLost() {
+			w.after(storeRetry, func() { n.handle(coordinator.LeaseRenewed{Renewal: renewal, Failed: true}) })
+			return
+		}
+		if !w.renewRow(n, renewal) {
+			n.handle(coordinator.LeaseRenewed{Renewal: renewal, Fenced: true})
+			return
+		}
+		n.handle(coordinator.LeaseRenewed{Renewal: renewal, Directory: w.directory()})
+	})
+}
+
+// renewRow returns false if the row was fenced or belongs to a newer incarnation.
+func (w *World) renewRow(n *entryNode, renewal uint64) bool {
+	row, ok := w.table.entries[n.name]
+	if ok && row.Incarnation == n.incarnation && row.Fenced {
+		return false
+	}
+	if ok && row.Incarnation != n.incarnation && w.entries[n.name] != n {
+		return false
+	}
+	w.table.entries[n.name] = coordinator.EntryRow{
+		Name: n.name, Incarnation: n.incarnation, Address: n.name, Renewal: renewal,
+	}
+	return true
+}
+
+func (w *World) directory() []coordinator.EntryRow {
+	var rows []coordinator.EntryRow
+	for _, name := range sortedNames(w.table.entries) {
+		rows = append(rows, w.table.entries[name])
+	}
+	return rows
+}
+
+func (w *World) fenceEntry(n *entryNode, row coordinator.EntryRow) {
+	w.after(writeLatency, func() {
+		if !w.table.reachable(n.name) {
+			n.handle(coordinator.EntryFenced{Owner: row.Incarnation, Failed: true})
+			return
+		}
+		present := w.table.entries[row.Name]
+		if present.Incarnation == row.Incarnation && present.Renewal != row.Renewal {
+			n.handle(coordinator.EntryFenced{Owner: row.Incarnation, Alive: true})
+			return
+		}
+		if present.Incarnation == row.Incarnation {
+			present.Fenced = true
+			w.table.entries[row.Name] = present
+		}
+		n.handle(coordinator.EntryFenced{Owner: row.Incarnation})
+	})
+}
