--- /dev/null
+++ b/internal/settings/parser/tree.go
@@ -0,0 +1,188 @@
+package parser
+
+import (
+	"fmt"
+	"maps"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/burdockrudder/burdockrudder/internal/dispatch/messenger"
+	"github.com/burdockrudder/burdockrudder/internal/settings/resolver"
+)
+
+// Bounds that no setting may exceed.
+const (
+	maxTasks        = 210
+	maxPayloadBytes = 256 << 10
+	// maxDeadline keeps deadlines well within the 10 min for which agents keep
+	// start records.
+	maxDeadline = resolver.Duration(5 * time.Minute)
+	// minDeadline is about one round trip between our processes.
+	minDeadline = resolver.Duration(time.Millisecond)
+	// maxEjectFor is where the doubling of the ejection time ends.
+	maxEjectFor = resolver.Duration(time.Minute)
+	noMaximum   = math.MaxInt
+)
+
+// treeCheck checks the values of a decoded tree, alone and against each other.
+type treeCheck struct {
+	doc *document
+}
+
+// sourced is a setting in force at a level, and the level that set it.
+type sourced[T any] struct {
+	value T
+	from  string
+}
+
+// inherited are the settings that a lower level may contradict.
+type inherited struct {
+	state    sourced[messenger.DomainState]
+	deadline sourced[resolver.Duration]
+	bound    sourced[resolver.Duration]
+}
+
+func checkTree(doc *document, tree *resolver.Tree) {
+	const source = "built-in default"
+	defaults := resolver.Defaults()
+	top := inherited{
+		state:    sourced[messenger.DomainState]{defaults.State, source},
+		deadline: sourced[resolver.Duration]{defaults.DefaultDeadline, source},
+		bound:    sourced[resolver.Duration]{defaults.MaxDeadline, source},
+	}
+	check := treeCheck{doc}
+	each(check, "firms", tree.Firms, func(at path, firm resolver.Firm) { check.firm(at, firm, top) })
+	check.keys(tree)
+}
+
+// each checks the name of each member of a map and visits the member. The order
+// is fixed, so that the findings of a document are always the same.
+func each[T any](c treeCheck, container path, members map[string]T, visit func(path, T)) {
+	for _, name := range slices.Sorted(maps.Keys(members)) {
+		at := container.child(name)
+		if !namePattern.MatchString(name) {
+			c.doc.reportName(at, fmt.Sprintf("bad name %q: %s", name, nameRule))
+		}
+		visit(at, members[name])
+	}
+}
+
+func (c treeCheck) firm(at path, firm resolver.Firm, above inherited) {
+	force := c.settings(at, LevelFirm, firm.Settings, above)
+	each(c, at.child("teams"), firm.Teams, c.team)
+	each(c, at.child("places"), firm.Places, func(at path, place resolver.Place) { c.place(at, place, force) })
+}
+
+func (c treeCheck) place(at path, place resolver.Place, above inherited) {
+	force := c.settings(at, LevelPlace, place.Settings, above)
+	each(c, at.child("failure_domains"), place.FailureDomains, func(at path, domain resolver.FailureDomain) {
+		c.domain(at, domain, force)
+	})
+}
+
+func (c treeCheck) domain(at path, domain resolver.FailureDomain, above inherited) {
+	force := c.settings(at, LevelFailureDomain, domain.Settings, above)
+	each(c, at.child("services"), domain.Services, func(at path, service resolver.Service) {
+		c.settings(at, LevelService, service.Settings, force)
+	})
+}
+
+func (c treeCheck) team(at path, team resolver.Team) {
+	c.require(at.child("weight"))
+	inRange(c, at.child("weight"), &team.Weight, 1, noMaximum)
+	inRange(c, at.child("max_running_tasks"), &team.MaxRunningTasks, 0, noMaximum)
+	inRange(c, at.child("max_waiting_tasks"), &team.MaxWaitingTasks, 0, noMaximum)
+}
+
+// settings checks the overrides of one level and returns what the levels below inherit.
+func (c treeCheck) settings(level path, name Level, o resolver.Overrides, above inherited) inherited {
+	at := level.child("settings")
+	c.values(at, o)
+	force := above
+	c.state(at, name, o, &force)
+	c.deadlines(at, name, o, &force)
+	return force
+}
+
+func (c treeCheck) values(at path, o resolver.Overrides) {
+	if o.State != nil && *o.State != messenger.DomainIn && *o.State != messenger.DomainOut {
+		c.doc.report(at.child("state"), fmt.Sprintf(`unknown state %q: must be "in" or "out"`, *o.State))
+	}
+	inRange(c, at.child("max_tasks"), o.MaxTasks, 1, maxTasks)
+	inRange(c, at.child("max_payload_bytes"), o.MaxPayloadBytes, 1, maxPayloadBytes)
+	inRange(c, at.child("default_deadline"), o.DefaultDeadline, minDeadline, noMaximum)
+	inRange(c, at.child("max_deadline"), o.MaxDeadline, minDeadline, maxDeadline)
+	inRange(c, at.child("queue_limit"), o.QueueLimit, 0, noMaximum)
+	inRange(c, at.child("eject_after"), o.EjectAfter, 1, noMaximum)
+	inRange(c, at.child("eject_for"), o.EjectFor, minDeadline, maxEjectFor)
+	inRange(c, at.child("ramp_up"), o.RampUp, 0, noMaximum)
+	inRange(c, at.child("retry_budget"), o.RetryBudget, 0, 1)
+	inRange(c, at.child("hedge_after"), o.HedgeAfter, 0, noMaximum)
+	inRange(c, at.child("log_decisions"), o.LogDecisions, 0, 1)
+}
+
+// state reports a level that lets tasks start below one that forbids it. Such a
+// level would go on starting tasks after the level above was taken out.
+func (c treeCheck) state(at path, level Level, o resolver.Overrides, force *inherited) {
+	at = at.child("state")
+	if o.State == nil || c.doc.isBroken(at) {
+		return
+	}
+	if *o.State == messenger.DomainIn && force.state.value == messenger.DomainOut {
+		c.doc.report(at, fmt.Sprintf(`state "in" contradicts state "out" of the %s`, force.state.from))
+	}
+	force.state = sourced[messenger.DomainState]{*o.State, string(level)}
+}
+
+// deadlines reports the level at which the deadlines in force begin to contradict
+// each other, even if every level below overrides them.
+func (c treeCheck) deadlines(at path, level Level, o resolver.Overrides, force *inherited) {
+	setDeadline := c.take(at.child("default_deadline"), level, o.DefaultDeadline, &force.deadline)
+	setBound := c.take(at.child("max_deadline"), level, o.MaxDeadline, &force.bound)
+	if !setDeadline && !setBound || force.deadline.value <= force.bound.value {
+		return
+	}
+	key := "default_deadline"
+	if setBound {
+		key = "max_deadline"
+	}
+	c.doc.report(at.child(key), fmt.Sprintf("max_deadline %s (%s) is below default_deadline %s (%s)",
+		show(force.bound.value), force.bound.from, show(force.deadline.value), force.deadline.from))
+}
+
+// take puts an override in force unless it is absent or already has a finding.
+func (c treeCheck) take(at path, level Level, value *resolver.Duration, force *sourced[resolver.Duration]) bool {
+	if value == nil || c.doc.isBroken(at) {
+		return false
+	}
+	*force = sourced[resolver.Duration]{*value, string(level)}
+	return true
+}
+
+// require reports a value that is absent.
+func (c treeCheck) require(at path) {
+	if _, present := c.doc.values[at]; !present {
+		c.doc.report(at, "required")
+	}
+}
+
+// inRange reports a value that is set and out of its range.
+func inRange[T int | float64 | resolver.Duration](c treeCheck, at path, value *T, low, high T) {
+	switch {
+	case value == nil || *value >= low && *value <= high:
+	case *value < 0:
+		c.doc.report(at, fmt.Sprintf("must not be negative, found %s", show(*value)))
+	case *value < low:
+		c.doc.report(at, fmt.Sprintf("must be at least %s, found %s", show(low), show(*value)))
+	default:
+		c.doc.report(at, fmt.Sprintf("must be at most %s, found %s", show(high), show(*value)))
+	}
+}
+
+func show(value any) string {
+	if duration, ok := value.(resolver.Duration); ok {
+		return time.Duration(duration).String()
+	}
+	return fmt.Sprint(value)
+}
