Keep settings versions by compare-and-set with history

A change writes the head and its own row in one transaction. The change row is never overwritten, so its token tells who made that version, even after a lost reply and a later change by someone else. A table failure after a write is reported as an unknown outcome, since the change may be in force.

--- /dev/null
+++ b/internal/settings/versioner/rows.go
@@ -0,0 +1,79 @@
+package versioner
+
+import (
+	"bytes"
+	"cmp"
+	"encoding/json"
+	"fmt"
+	"slices"
+
+	"github.com/burdockrudder/burdockrudder/internal/platform/storer"
+)
+
+// keyOf pads the version, so that the order of the keys is that of the versions.
+func keyOf(version uint64) string {
+	return fmt.Sprintf("%s%020d", changePrefix, version)
+}
+
+// findRow returns the row of a key; its revision is 0 if it does not exist.
+func findRow(rows []storer.Row, key string) storer.Row {
+	for _, row := range rows {
+		if row.Key == key {
+			return row
+		}
+	}
+	return storer.Row{Key: key}
+}
+
+func decodeHead(row storer.Row) (Head, error) {
+	var head Head
+	if row.Revision == 0 {
+		return head, nil
+	}
+	if err := json.Unmarshal(row.Value, &head); err != nil {
+		return Head{}, fmt.Errorf("decode row %s: %w", row.Key, err)
+	}
+	return head, nil
+}
+
+// encodePuts returns the writes of the head and of the change. The change row is
+// never overwritten, so its token tells for good who made that version.
+func encodePuts(change Change, headRevision uint64, token string) ([]storer.Put, error) {
+	headValue, err := json.Marshal(Head{Version: change.Version, Tree: change.Tree})
+	if err != nil {
+		return nil, fmt.Errorf("encode settings head: %w", err)
+	}
+	changeValue, err := json.Marshal(change)
+	if err != nil {
+		return nil, fmt.Errorf("encode settings change: %w", err)
+	}
+	return []storer.Put{
+		{Key: headKey, Value: headValue, Expected: headRevision, Token: token},
+		{Key: keyOf(change.Version), Value: changeValue, Token: token},
+	}, nil
+}
+
+// recognise returns the change that an earlier write of the same token made. A
+// token that was used for another tree is refused: the new tree is not in force.
+func recognise(row storer.Row, wanted Change) (Change, error) {
+	var kept Change
+	if err := json.Unmarshal(row.Value, &kept); err != nil {
+		return Change{}, fmt.Errorf("decode row %s: %w", row.Key, err)
+	}
+	keptTree, err := json.Marshal(kept.Tree)
+	if err != nil {
+		return Change{}, fmt.Errorf("encode settings tree: %w", err)
+	}
+	wantedTree, err := json.Marshal(wanted.Tree)
+	if err != nil {
+		return Change{}, fmt.Errorf("encode settings tree: %w", err)
+	}
+	if !bytes.Equal(keptTree, wantedTree) {
+		return Change{}, ErrTokenReused
+	}
+	return kept, nil
+}
+
+func newestFirst(changes []Change) {
+	slices.SortFunc(changes, func(a, b Change) int { return cmp.Compare(b.Version, a.Version) })
+}
--- /dev/null
+++ b/internal/settings/versioner/versioner.go
@@ -0,0 +1,218 @@
+// Package versioner keeps the versions of the settings tree in the platform's
+// table: changes by compare-and-set, their history, and a watcher that reads the
+// version in force.
+package versioner
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/burdockrudder/burdockrudder/internal/platform/storer"
+	"github.com/burdockrudder/burdockrudder/internal/settings/resolver"
+)
+
+const (
+	headKey      = "settings/head"
+	changePrefix = "settings/change/"
+
+	defaultPatience   = 2 * time.Second
+	defaultRetryPause = 100 * time.Millisecond
+)
+
+// Head is the version in force. Version 0 is the empty tree before the first change.
+type Head struct {
+	Version uint64        `json:"version"`
+	Tree    resolver.Tree `json:"tree"`
+}
+
+// Change is one accepted change, with the whole tree that it put in force.
+type Change struct {
+	Version uint64        `json:"version"`
+	Author  string        `json:"author"`
+	Reason  string        `json:"reason"`
+	Time    time.Time     `json:"time"`
+	Tree    resolver.Tree `json:"tree"`
+}
+
+// Edit asks for a change. The tree must be free of findings.
+type Edit struct {
+	// Expected is the version that the edit is based on.
+	Expected uint64
+	Author   string
+	Reason   string
+	Tree     resolver.Tree
+	// Token is unique per edit. An operator who repeats an edit after a lost
+	// reply passes the same token. If empty, one is drawn.
+	Token string
+}
+
+// Store reads and changes the settings in the table. Set the fields before use.
+type Store struct {
+	Table storer.Table
+	// Patience bounds the time for which a change is retried while the table
+	// gives no answer; 0 means 2 s.
+	Patience time.Duration
+	// RetryPause is the wait between two tries; 0 means 100 ms.
+	RetryPause time.Duration
+}
+
+// Head returns the version in force.
+func (s *Store) Head(ctx context.Context) (Head, error) {
+	rows, err := s.Table.Read(ctx, []string{headKey})
+	if err != nil {
+		return Head{}, fmt.Errorf("read settings head: %w", err)
+	}
+	return decodeHead(findRow(rows, headKey))
+}
+
+// Change puts a tree in force. It fails with a ConflictError if another change
+// came first, and with an UnknownOutcomeError if the table gives no answer.
+func (s *Store) Change(ctx context.Context, edit Edit) (Change, error) {
+	if edit.Author == "" || edit.Reason == "" {
+		return Change{}, ErrUnexplained
+	}
+	if edit.Token == "" {
+		edit.Token = rand.Text()
+	}
+	ctx, cancel := context.WithTimeout(ctx, orDefault(s.Patience, defaultPatience))
+	defer cancel()
+	change := Change{
+		Version: edit.Expected + 1,
+		Author:  edit.Author,
+		Reason:  edit.Reason,
+		Time:    time.Now().UTC(),
+		Tree:    edit.Tree,
+	}
+	return s.changeUntilAnswered(ctx, edit, change)
+}
+
+// changeUntilAnswered repeats a change as long as the table gives no answer. Each
+// try looks for an earlier one of the same token that took effect.
+func (s *Store) changeUntilAnswered(ctx context.Context, edit Edit, change Change) (Change, error) {
+	written := false
+	for {
+		result, wrote, err := s.tryChange(ctx, edit, change)
+		written = written || wrote
+		var noAnswer *noAnswerError
+		if !errors.As(err, &noAnswer) {
+			return result, err
+		}
+		if pause(ctx, orDefault(s.RetryPause, defaultRetryPause)) != nil {
+			return Change{}, &UnknownOutcomeError{Version: change.Version, Token: edit.Token, Written: written, Err: noAnswer.err}
+		}
+	}
+}
+
+// tryChange makes one try. It reports whether a write was sent.
+func (s *Store) tryChange(ctx context.Context, edit Edit, change Change) (Change, bool, error) {
+	changeKey := keyOf(change.Version)
+	rows, err := s.Table.Read(ctx, []string{headKey, changeKey})
+	if err != nil {
+		return Change{}, false, &noAnswerError{fmt.Errorf("read settings head: %w", err)}
+	}
+	if own := findRow(rows, changeKey); own.Revision > 0 && own.Token == edit.Token {
+		kept, err := recognise(own, change)
+		return kept, false, err
+	}
+	headRow := findRow(rows, headKey)
+	head, err := decodeHead(headRow)
+	if err != nil {
+		return Change{}, false, err
+	}
+	if head.Version != edit.Expected {
+		return Change{}, false, &ConflictError{Expected: edit.Expected, Present: head.Version}
+	}
+	kept, err := s.write(ctx, edit, change, headRow.Revision)
+	return kept, true, err
+}
+
+func (s *Store) write(ctx context.Context, edit Edit, change Change, revision uint64) (Change, error) {
+	puts, err := encodePuts(change, revision, edit.Token)
+	if err != nil {
+		return Change{}, err
+	}
+	results, err := s.Table.Write(ctx, puts, true)
+	if err != nil {
+		return Change{}, &noAnswerError{fmt.Errorf("write settings version %d: %w", change.Version, err)}
+	}
+	for _, result := range results {
+		if !result.Applied {
+			// Another writer came first, or our own write did and was then
+			// followed by another. The next try tells which.
+			return Change{}, &noAnswerError{errLostRace}
+		}
+	}
+	return change, nil
+}
+
+// Get returns one accepted change.
+func (s *Store) Get(ctx context.Context, version uint64) (Change, error) {
+	changes, err := s.read(ctx, []string{keyOf(version)})
+	if err != nil {
+		return Change{}, err
+	}
+	if len(changes) == 0 {
+		return Change{}, &UnknownVersionError{Version: version}
+	}
+	return changes[0], nil
+}
+
+// History returns up to limit changes, newest first, starting below the version
+// before; 0 starts at the version in force. Versions have no gaps, so that the
+// rows are read by key: a scan would return the trees of all changes ever made.
+func (s *Store) History(ctx context.Context, before uint64, limit int) ([]Change, error) {
+	if before == 0 {
+		head, err := s.Head(ctx)
+		if err != nil {
+			return nil, err
+		}
+		before = head.Version + 1
+	}
+	var keys []string
+	for version := before - 1; version > 0 && len(keys) < limit; version-- {
+		keys = append(keys, keyOf(version))
+	}
+	changes, err := s.read(ctx, keys)
+	if err != nil {
+		return nil, err
+	}
+	newestFirst(changes)
+	return changes, nil
+}
+
+func (s *Store) read(ctx context.Context, keys []string) ([]Change, error) {
+	if len(keys) == 0 {
+		return nil, nil
+	}
+	rows, err := s.Table.Read(ctx, keys)
+	if err != nil {
+		return nil, fmt.Errorf("read settings changes: %w", err)
+	}
+	changes := make([]Change, len(rows))
+	for i, row := range rows {
+		if err := json.Unmarshal(row.Value, &changes[i]); err != nil {
+			return nil, fmt.Errorf("decode row %s: %w", row.Key, err)
+		}
+	}
+	return changes, nil
+}
+
+func pause(ctx context.Context, wait time.Duration) error {
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-time.After(wait):
+		return nil
+	}
+}
+
+func orDefault(value, fallback time.Duration) time.Duration {
+	if value <= 0 {
+		return fallback
+	}
+	return value
+}
