--- a/internal/proof/driver/driver.go
+++ b/internal/proof/driver/driver.go
@@ -48,6 +48,8 @@
 	Accepted []AcceptedChange
 	// OnEvent, if set, sees each event before an entry handles it.
 	OnEvent func(entry messenger.Incarnation, now time.Time, event coordinator.Event)
+	// OnEffect, if set, sees each effect of an entry before it is carried out.
+	OnEffect func(entry messenger.Incarnation, now time.Time, effect coordinator.Effect)
 
 	random   *rand.Rand
 	now      time.Time
--- a/internal/proof/driver/entries.go
+++ b/internal/proof/driver/entries.go
@@ -79,6 +79,9 @@
 		n.world.OnEvent(n.incarnation, n.world.now, event)
 	}
 	for _, effect := range n.state.Handle(n.world.now, event) {
+		if n.world.OnEffect != nil {
+			n.world.OnEffect(n.incarnation, n.world.now, effect)
+		}
 		n.carryOut(effect)
 	}
 }
--- /dev/null
+++ b/internal/proof/replayer/replayer.go
@@ -0,0 +1,131 @@
+// Package replayer feeds a recorded trace to an entry's decision code, with no
+// sockets, and compares the decisions with stated ones.
+package replayer
+
+import (
+	"bufio"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"time"
+
+	"github.com/burdockrudder/burdockrudder/internal/dispatch/coordinator"
+	"github.com/burdockrudder/burdockrudder/internal/proof/recorder"
+)
+
+// Output is one effect as printed, with the time and the trace line of its event.
+type Output struct {
+	Line int       `json:"line"`
+	At   time.Time `json:"at"`
+	recorder.Typed
+}
+
+// Replayer replays a trace. Its exported fields are set before Run.
+type Replayer struct {
+	Trace io.Reader
+	// Output gets one JSON line per effect.
+	Output io.Writer
+	// Messages adds the messages and store calls to the decisions and answers.
+	Messages bool
+}
+
+// Run replays the whole trace.
+func (r *Replayer) Run() error {
+	reader, header, err := recorder.NewReader(r.Trace)
+	if err != nil {
+		return err
+	}
+	state := &coordinator.State{
+		Config: coordinator.Defaults(header.Name, header.Incarnation, header.Address),
+		Random: rand.New(rand.NewPCG(header.Seed, header.Seed)),
+	}
+	for {
+		at, event, err := reader.Next()
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		for _, effect := range state.Handle(at, event) {
+			if err := r.print(reader.Number(), at, effect); err != nil {
+				return err
+			}
+		}
+	}
+}
+
+func (r *Replayer) print(line int, at time.Time, effect coordinator.Effect) error {
+	if !r.Messages && !visible(effect) {
+		return nil
+	}
+	typed, err := recorder.EncodeEffect(effect)
+	if err != nil {
+		return err
+	}
+	text, err := json.Marshal(Output{Line: line, At: at, Typed: typed})
+	if err != nil {
+		return fmt.Errorf("encode output: %w", err)
+	}
+	if _, err := r.Output.Write(append(text, '\n')); err != nil {
+		return fmt.Errorf("write output: %w", err)
+	}
+	return nil
+}
+
+// visible effects are decisions and answers; the others follow from them.
+func visible(effect coordinator.Effect) bool {
+	switch effect.(type) {
+	case coordinator.Decision, coordinator.Reply, coordinator.Drained, coordinator.Exit:
+		return true
+	default:
+		return false
+	}
+}
+
+// Difference is the first place at which two outputs differ.
+type Difference struct {
+	Line int
+	Want string
+	Got  string
+}
+
+// Error names the place and both lines.
+func (d *Difference) Error() string {
+	return fmt.Sprintf("line %d differs:\n  want %s\n  got  %s", d.Line, d.Want, d.Got)
+}
+
+// maxOutputLine bounds one line of an output.
+const maxOutputLine = 128 << 20
+
+// endOfOutput stands for a missing line.
+const endOfOutput = "(end of output)"
+
+// Compare returns a *Difference if the outputs are not equal byte for byte.
+func Compare(want, got io.Reader) error {
+	wantLines, gotLines := lines(want), lines(got)
+	for number := 1; ; number++ {
+		wantMore, gotMore := wantLines.Scan(), gotLines.Scan()
+		if !wantMore && !gotMore {
+			return errors.Join(wantLines.Err(), gotLines.Err())
+		}
+		w, g := endOfOutput, endOfOutput
+		if wantMore {
+			w = wantLines.Text()
+		}
+		if gotMore {
+			g = gotLines.Text()
+		}
+		if w != g {
+			return &Difference{Line: number, Want: w, Got: g}
+		}
+	}
+}
+
+func lines(source io.Reader) *bufio.Scanner {
+	scanner := bufio.NewScanner(source)
+	scanner.Buffer(nil, maxOutputLine)
+	return scanner
+}
