--- /dev/null
+++ b/internal/edge/translator/digest.go
@@ -0,0 +1,101 @@
+package translator
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"slices"
+	"strings"
+
+	"github.com/burdockrudder/burdockrudder/internal/dispatch/messenger"
+)
+
+// digest returns the SHA-256 of the canonical form of a submission. The id and
+// wait are left out, as are defaults from the settings: a resubmission after a
+// settings change is still the same body.
+func digest(s messenger.Submission) (string, error) {
+	s.Key, s.Digest = messenger.SubmissionKey{}, ""
+	s.Tasks = slices.Clone(s.Tasks)
+	for i, task := range s.Tasks {
+		payload, err := canonical(task.Payload)
+		if err != nil {
+			return "", &Error{Code: CodeBadRequest, Reason: "bad payload: " + err.Error()}
+		}
+		s.Tasks[i].Payload = payload
+		labels := slices.Clone(task.Labels)
+		slices.Sort(labels)
+		s.Tasks[i].Labels = slices.Compact(labels)
+	}
+	text, err := json.Marshal(s)
+	if err != nil {
+		return "", fmt.Errorf("canonical submission: %w", err)
+	}
+	sum := sha256.Sum256(text)
+	return hex.EncodeToString(sum[:]), nil
+}
+
+// canonical drops white space and sorts the fields of objects. Repeated fields
+// keep their order, because endpoints may differ in which one they read.
+func canonical(text []byte) ([]byte, error) {
+	decoder := json.NewDecoder(bytes.NewReader(text))
+	decoder.UseNumber()
+	var out bytes.Buffer
+	if err := canonicalValue(decoder, &out); err != nil {
+		return nil, err
+	}
+	return out.Bytes(), nil
+}
+
+func canonicalValue(decoder *json.Decoder, out *bytes.Buffer) error {
+	token, err := decoder.Token()
+	if err != nil {
+		return err
+	}
+	switch token {
+	case json.Delim('{'):
+		return canonicalObject(decoder, out)
+	case json.Delim('['):
+		return canonicalArray(decoder, out)
+	}
+	text, err := json.Marshal(token)
+	out.Write(text)
+	return err
+}
+
+func canonicalArray(decoder *json.Decoder, out *bytes.Buffer) error {
+	out.WriteByte('[')
+	for decoder.More() {
+		if err := canonicalValue(decoder, out); err != nil {
+			return err
+		}
+		out.WriteByte(',')
+	}
+	out.WriteByte(']')
+	_, err := decoder.Token()
+	return err
+}
+
+func canonicalObject(decoder *json.Decoder, out *bytes.Buffer) error {
+	type field struct{ key, value string }
+	var fields []field
+	for decoder.More() {
+		var key, value bytes.Buffer
+		if err := canonicalValue(decoder, &key); err != nil {
+			return err
+		}
+		if err := canonicalValue(decoder, &value); err != nil {
+			return err
+		}
+		fields = append(fields, field{key.String(), value.String()})
+	}
+	slices.SortStableFunc(fields, func(a, b field) int { return strings.Compare(a.key, b.key) })
+	out.WriteByte('{')
+	for _, f := range fields {
+		out.WriteString(f.key + ":" + f.value + ",")
+	}
+	out.WriteByte('}')
+	_, err := decoder.Token()
+	return err
+}
--- /dev/null
+++ b/internal/edge/translator/errors.go
@@ -0,0 +1,102 @@
+package translator
+
+import (
+	"net/http"
+
+	"github.com/burdockrudder/burdockrudder/internal/dispatch/messenger"
+)
+
+// Code is the machine-readable code of an error body. docs/api.md lists what
+// each code means for the caller.
+type Code string
+
+// The codes of refusals by the dispatcher.
+const (
+	CodeNotRun         = Code(messenger.CodeNotRun)
+	CodeOutcomeUnknown = Code(messenger.CodeOutcomeUnknown)
+	CodeNeverRunnable  = Code(messenger.CodeNeverRunnable)
+	CodeIDConflict     = Code(messenger.CodeConflict)
+	CodeNotFound       = Code(messenger.CodeNotFound)
+	CodeQuota          = Code(messenger.CodeQuota)
+	CodeInProgress     = Code(messenger.CodeInProgress)
+)
+
+// The codes of errors found at the edge.
+const (
+	CodeBadRequest       Code = "bad_request"
+	CodeUnauthorized     Code = "unauthorized"
+	CodeForbidden        Code = "forbidden"
+	CodeMethodNotAllowed Code = "method_not_allowed"
+	CodeTooLarge         Code = "too_large"
+	CodeVersionConflict  Code = "version_conflict"
+	CodeVersionRequired  Code = "version_required"
+	CodeInvalidSettings  Code = "invalid_settings"
+	// CodeNoAnswer: the entry stopped before it could answer. The submission
+	// may have been admitted.
+	CodeNoAnswer Code = "no_answer"
+	// CodeUnavailable: the settings or the table service cannot be reached. A
+	// settings change may have been committed.
+	CodeUnavailable Code = "unavailable"
+	CodeInternal    Code = "internal"
+)
+
+var statuses = map[Code]int{
+	CodeNotRun:           http.StatusServiceUnavailable,
+	CodeOutcomeUnknown:   http.StatusServiceUnavailable,
+	CodeNeverRunnable:    http.StatusUnprocessableEntity,
+	CodeIDConflict:       http.StatusConflict,
+	CodeNotFound:         http.StatusNotFound,
+	CodeQuota:            http.StatusTooManyRequests,
+	CodeInProgress:       http.StatusAccepted,
+	CodeBadRequest:       http.StatusBadRequest,
+	CodeUnauthorized:     http.StatusUnauthorized,
+	CodeForbidden:        http.StatusForbidden,
+	CodeMethodNotAllowed: http.StatusMethodNotAllowed,
+	CodeTooLarge:         http.StatusRequestEntityTooLarge,
+	CodeVersionConflict:  http.StatusConflict,
+	CodeVersionRequired:  http.StatusPreconditionRequired,
+	CodeInvalidSettings:  http.StatusUnprocessableEntity,
+	CodeNoAnswer:         http.StatusServiceUnavailable,
+	CodeUnavailable:      http.StatusServiceUnavailable,
+	CodeInternal:         http.StatusInternalServerError,
+}
+
+// Status returns the HTTP status of a code.
+func (c Code) Status() int {
+	if status, ok := statuses[c]; ok {
+		return status
+	}
+	return http.StatusInternalServerError
+}
+
+// Retryable is whether the same request may succeed a little later.
+func (c Code) Retryable() bool {
+	switch c.Status() {
+	case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusAccepted:
+		return true
+	default:
+		return false
+	}
+}
+
+// Error is the body of every error response.
+type Error struct {
+	Code   Code   `json:"code"`
+	Reason string `json:"reason"`
+	// Field and Offset locate a fault in the request body.
+	Field  string `json:"field,omitempty"`
+	Offset *int64 `json:"offset,omitempty"`
+	// Version is the present settings version after a version conflict.
+	Version uint64 `json:"version,omitempty"`
+	// Findings are the faults of refused settings.
+	Findings []Finding `json:"findings,omitempty"`
+}
+
+// Error returns the code and the reason.
+func (e *Error) Error() string {
+	text := string(e.Code) + ": " + e.Reason
+	if e.Field != "" {
+		text += " (field " + e.Field + ")"
+	}
+	return text
+}
