Serve the HTTP API of callers and operators

Callers and operators reach the decisions through two interfaces, so that the server needs neither the control loop nor the store. A submission without wait stays for a short window, because a refused one should not look accepted.

--- /dev/null
+++ b/internal/edge/caller/client.go
@@ -0,0 +1,240 @@
+// Package caller is the Go client of the HTTP API.
+package caller
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strings"
+
+	"github.com/burdockrudder/burdockrudder/internal/edge/translator"
+)
+
+// maxResponseBytes bounds a response: 210 results of up to 256 KiB with room for
+// their JSON framing.
+const maxResponseBytes = 64 << 20
+
+// Client calls the API of any of a list of entries. It is safe for concurrent use.
+type Client struct {
+	// Servers are base URLs such as https://entry-1:8443. A call tries the next
+	// one after a connection error or a 503.
+	Servers []string
+	// Key is the bearer API key.
+	Key string
+	// HTTP sends the requests; nil means http.DefaultClient.
+	HTTP *http.Client
+}
+
+// UnknownError reports that a call may or may not have taken effect. Repeating a
+// submission under the same id is safe.
+type UnknownError struct {
+	// ID is the id of the submission, empty for other calls.
+	ID  string
+	Err error
+}
+
+// Error says that the outcome is unknown and why.
+func (e *UnknownError) Error() string {
+	if e.ID == "" {
+		return "outcome unknown: " + e.Err.Error()
+	}
+	return "outcome of " + e.ID + " unknown: " + e.Err.Error()
+}
+
+// Unwrap returns the last error.
+func (e *UnknownError) Unwrap() error { return e.Err }
+
+// call is one API call.
+type call struct {
+	method string
+	path   string
+	header http.Header
+	body   any
+	// raw replaces body.
+	raw []byte
+	// once is set for calls that must not be sent again after they may have
+	// arrived.
+	once bool
+}
+
+// reply is a response with a status below 400.
+type reply struct {
+	status int
+	body   []byte
+}
+
+// do sends the call to one entry after the other. After a try that may have
+// taken effect, a refusal by the next entry says nothing about that try, so it
+// is reported as an UnknownError.
+func (c *Client) do(ctx context.Context, request call, target any) error {
+	body, err := request.encode()
+	if err != nil {
+		return err
+	}
+	if len(c.Servers) == 0 {
+		return errors.New("no server is configured")
+	}
+	arrived := false
+	for _, server := range c.Servers {
+		var got reply
+		got, err = c.send(ctx, server, request, body)
+		if err == nil {
+			return decodeReply(got, target)
+		}
+		arrived = arrived || mayHaveArrived(err)
+		if ctx.Err() != nil || !nextMayServe(err) || (arrived && request.once) {
+			break
+		}
+	}
+	if arrived && (mayHaveArrived(err) || refusesOnlyThisTry(err)) {
+		return &UnknownError{Err: err}
+	}
+	return err
+}
+
+func (r call) encode() ([]byte, error) {
+	if r.raw != nil || r.body == nil {
+		return r.raw, nil
+	}
+	body, err := json.Marshal(r.body)
+	if err != nil {
+		return nil, fmt.Errorf("encode body: %w", err)
+	}
+	return body, nil
+}
+
+func decodeReply(got reply, target any) error {
+	if err := json.Unmarshal(got.body, target); err != nil {
+		return &UnknownError{Err: fmt.Errorf("decode response: %w", err)}
+	}
+	return nil
+}
+
+func (c *Client) send(ctx context.Context, server string, request call, body []byte) (reply, error) {
+	target := strings.TrimSuffix(server, "/") + request.path
+	req, err := http.NewRequestWithContext(ctx, request.method, target, bytes.NewReader(body))
+	if err != nil {
+		return reply{}, &notSentError{fmt.Errorf("build request: %w", err)}
+	}
+	for name, values := range request.header {
+		req.Header[name] = values
+	}
+	if body != nil {
+		req.Header.Set("Content-Type", "application/json")
+	}
+	req.Header.Set("Authorization", "Bearer "+c.Key)
+	response, err := c.client().Do(req)
+	if err != nil {
+		return reply{}, classify(err)
+	}
+	defer response.Body.Close()
+	return read(response)
+}
+
+func (c *Client) client() *http.Client {
+	if c.HTTP != nil {
+		return c.HTTP
+	}
+	return http.DefaultClient
+}
+
+func read(response *http.Response) (reply, error) {
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes))
+	if err != nil {
+		return reply{}, fmt.Errorf("read response: %w", err)
+	}
+	if response.StatusCode < http.StatusBadRequest {
+		return reply{response.StatusCode, body}, nil
+	}
+	fault := &translator.Error{}
+	if err := json.Unmarshal(body, fault); err != nil || fault.Code == "" {
+		return reply{}, &foreignError{response.StatusCode}
+	}
+	return reply{}, fault
+}
+
+// notSentError is an error before the request could reach an entry.
+type notSentError struct{ err error }
+
+// Error returns the text of the cause.
+func (e *notSentError) Error() string { return e.err.Error() }
+
+// Unwrap returns the cause.
+func (e *notSentError) Unwrap() error { return e.err }
+
+// foreignError is an error response that no entry wrote, such as a load
+// balancer's. It does not tell whether the request reached an entry.
+type foreignError struct{ status int }
+
+// Error names the status.
+func (e *foreignError) Error() string {
+	return fmt.Sprintf("status %d without an error body", e.status)
+}
+
+func classify(err error) error {
+	var dial *net.OpError
+	if errors.As(err, &dial) && dial.Op == "dial" {
+		return &notSentError{err}
+	}
+	return err
+}
+
+// mayHaveArrived is whether the call may have taken effect in spite of err.
+func mayHaveArrived(err error) bool {
+	var notSent *notSentError
+	if errors.As(err, &notSent) {
+		return false
+	}
+	var fault *translator.Error
+	if !errors.As(err, &fault) {
+		return true
+	}
+	switch fault.Code {
+	case translator.CodeOutcomeUnknown, translator.CodeNoAnswer, translator.CodeUnavailable, translator.CodeInternal:
+		return true
+	default:
+		return false
+	}
+}
+
+// nextMayServe is whether another entry may give a better answer: after a
+// connection error or a 503.
+func nextMayServe(err error) bool {
+	var fault *translator.Error
+	if errors.As(err, &fault) {
+		return fault.Code.Status() == http.StatusServiceUnavailable
+	}
+	var foreign *foreignError
+	if errors.As(err, &foreign) {
+		return foreign.status >= http.StatusInternalServerError
+	}
+	return true
+}
+
+// refusesOnlyThisTry is whether err says nothing about earlier tries.
+func refusesOnlyThisTry(err error) bool {
+	var notSent *notSentError
+	if errors.As(err, &notSent) {
+		return true
+	}
+	var fault *translator.Error
+	if !errors.As(err, &fault) {
+		return true
+	}
+	switch fault.Code {
+	case translator.CodeNotRun, translator.CodeQuota, translator.CodeNeverRunnable:
+		return true
+	default:
+		return false
+	}
+}
+
+func servicePath(firm, service, rest string) string {
+	return "/v1/firms/" + url.PathEscape(firm) + "/services/" + url.PathEscape(service) + rest
+}
--- /dev/null
+++ b/internal/edge/server/jobs.go
@@ -0,0 +1,236 @@
+package server
+
+import (
+	"crypto/rand"
+	"fmt"
+	"net/http"
+	"strconv"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/burdockrudder/burdockrudder/internal/dispatch/coordinator"
+	"github.com/burdockrudder/burdockrudder/internal/dispatch/messenger"
+	"github.com/burdockrudder/burdockrudder/internal/edge/translator"
+)
+
+func (s *Server) submitJob(w http.ResponseWriter, r *request) error {
+	return s.submit(w, r, messenger.KindJob)
+}
+
+func (s *Server) submitRequest(w http.ResponseWriter, r *request) error {
+	return s.submit(w, r, messenger.KindRequest)
+}
+
+func (s *Server) submit(w http.ResponseWriter, r *request, kind messenger.Kind) error {
+	body, err := s.readBody(w, r)
+	if err != nil {
+		return err
+	}
+	decoded, err := translator.DecodeSubmission(kind, body)
+	if err != nil {
+		return err
+	}
+	submission := s.complete(decoded.Submission, r)
+	event := func(call coordinator.CallID) coordinator.Event {
+		return coordinator.Submitted{Call: call, Submission: submission}
+	}
+	if !decoded.Wait {
+		return s.submitAsync(w, r, submission.Key.ID, event)
+	}
+	answer, err := s.Dispatcher.Call(r.Context(), event)
+	return s.answerOutcome(w, submission.Key.ID, answer, err)
+}
+
+// complete fills in what the path, the key and the settings give.
+func (s *Server) complete(submission messenger.Submission, r *request) messenger.Submission {
+	submission.Key.Firm = r.PathValue("firm")
+	submission.Key.Service = r.PathValue("service")
+	submission.Team = r.identity.key.Team
+	if submission.Key.ID == "" {
+		submission.Key.ID = rand.Text()
+	}
+	if submission.Deadline == 0 {
+		submission.Deadline = s.defaultDeadline(submission.Key)
+	}
+	return submission
+}
+
+// defaultDeadline returns 0 for an undeclared service, which the coordinator refuses.
+func (s *Server) defaultDeadline(key messenger.SubmissionKey) time.Duration {
+	tree := s.tree()
+	if tree == nil {
+		return 0
+	}
+	resolved, _ := tree.ResolveAdmission(key.Firm, key.Service)
+	return time.Duration(resolved.DefaultDeadline)
+}
+
+// reply is what a background call returned.
+type reply struct {
+	answer coordinator.Answer
+	err    error
+}
+
+// submitAsync hands the submission over and answers 202, unless an answer comes
+// within RefusalWindow: a refused submission should not look accepted. The call
+// outlives the request, so that a disconnect cannot withdraw it on the way.
+func (s *Server) submitAsync(w http.ResponseWriter, r *request, id string, event func(coordinator.CallID) coordinator.Event) error {
+	replies := make(chan reply, 1)
+	s.background.Go(func() error {
+		answer, err := s.Dispatcher.Call(s.lifetime, event)
+		replies <- reply{answer, err}
+		return nil
+	})
+	window := time.NewTimer(s.RefusalWindow)
+	defer window.Stop()
+	select {
+	case got := <-replies:
+		return s.answerOutcome(w, id, got.answer, got.err)
+	case <-window.C:
+	case <-r.Context().Done():
+	}
+	s.writeJSON(w, http.StatusAccepted, inProgress(id, "submitted"))
+	return nil
+}
+
+func inProgress(id, reason string) translator.Outcome {
+	return translator.Outcome{ID: id, Status: translator.StatusInProgress, Reason: reason}
+}
+
+func (s *Server) queryJob(w http.ResponseWriter, r *request) error {
+	key, err := submissionKey(r)
+	if err != nil {
+		return err
+	}
+	wait, err := waitParameter(r)
+	if err != nil {
+		return err
+	}
+	answer, err := s.Dispatcher.Call(r.Context(), func(call coordinator.CallID) coordinator.Event {
+		return coordinator.Queried{Call: call, Key: key, Wait: wait}
+	})
+	return s.answerOutcome(w, key.ID, answer, err)
+}
+
+// waitParameter reads ?wait, which alone means true.
+func waitParameter(r *request) (bool, error) {
+	query := r.URL.Query()
+	if !query.Has("wait") {
+		return false, nil
+	}
+	text := query.Get("wait")
+	if text == "" {
+		return true, nil
+	}
+	wait, err := strconv.ParseBool(text)
+	if err != nil {
+		return false, &translator.Error{Code: translator.CodeBadRequest, Field: "wait", Reason: "must be true or false"}
+	}
+	return wait, nil
+}
+
+func submissionKey(r *request) (messenger.SubmissionKey, error) {
+	key := messenger.SubmissionKey{Firm: r.PathValue("firm"), Service: r.PathValue("service"), ID: r.PathValue("id")}
+	if !translator.ValidID(key.ID) {
+		return key, notFound()
+	}
+	return key, nil
+}
+
+func (s *Server) cancelJob(w http.ResponseWriter, r *request) error {
+	key, err := submissionKey(r)
+	if err != nil {
+		return err
+	}
+	return s.cancel(w, r, key, false)
+}
+
+func (s *Server) cancelPrefix(w http.ResponseWriter, r *request) error {
+	body, err := s.readBody(w, r)
+	if err != nil {
+		return err
+	}
+	decoded, err := translator.DecodeCancelPrefix(body)
+	if err != nil {
+		return err
+	}
+	key := messenger.SubmissionKey{Firm: r.PathValue("firm"), Service: r.PathValue("service"), ID: decoded.Prefix}
+	return s.cancel(w, r, key, true)
+}
+
+func (s *Server) cancel(w http.ResponseWriter, r *request, key messenger.SubmissionKey, prefix bool) error {
+	answer, err := s.Dispatcher.Call(r.Context(), func(call coordinator.CallID) coordinator.Event {
+		return coordinator.CancelRequested{Call: call, Key: key, Prefix: prefix}
+	})
+	if err != nil {
+		return s.noAnswer(err)
+	}
+	switch a := answer.(type) {
+	case coordinator.CancelAnswer:
+		s.writeJSON(w, http.StatusOK, translator.Cancelled{Cancelled: a.Cancelled})
+		return nil
+	case coordinator.RefusalAnswer:
+		return refusal(a)
+	default:
+		return fmt.Errorf("cancel %s: unexpected answer %T", key, answer)
+	}
+}
+
+func (s *Server) tickets(w http.ResponseWriter, r *request) error {
+	body, err := s.readBody(w, r)
+	if err != nil {
+		return err
+	}
+	decoded, err := translator.DecodeTicketCount(body)
+	if err != nil {
+		return err
+	}
+	answer, err := s.Dispatcher.Call(r.Context(), func(call coordinator.CallID) coordinator.Event {
+		return coordinator.TicketsRequested{
+			Call: call, Firm: r.PathValue("firm"), Service: r.PathValue("service"), Count: decoded.Count,
+		}
+	})
+	if err != nil {
+		return s.noAnswer(err)
+	}
+	switch a := answer.(type) {
+	case coordinator.TicketsAnswer:
+		s.writeJSON(w, http.StatusOK, translator.Tickets{IDs: a.IDs})
+		return nil
+	case coordinator.RefusalAnswer:
+		return refusal(a)
+	default:
+		return fmt.Errorf("tickets: unexpected answer %T", answer)
+	}
+}
+
+func (s *Server) answerOutcome(w http.ResponseWriter, id string, answer coordinator.Answer, err error) error {
+	if err != nil {
+		return s.noAnswer(err)
+	}
+	switch a := answer.(type) {
+	case coordinator.OutcomeAnswer:
+		s.writeJSON(w, http.StatusOK, translator.NewOutcome(a.Outcome))
+		return nil
+	case coordinator.RefusalAnswer:
+		if a.Refusal.Code == messenger.CodeInProgress {
+			w.Header().Set("Retry-After", retryAfterSeconds)
+			s.writeJSON(w, http.StatusAccepted, inProgress(id, a.Refusal.Reason))
+			return nil
+		}
+		return refusal(a)
+	default:
+		return fmt.Errorf("submission %s: unexpected answer %T", id, answer)
+	}
+}
+
+func refusal(a coordinator.RefusalAnswer) error {
+	return fail(translator.Code(a.Refusal.Code), a.Refusal.Reason)
+}
+
+// noAnswer is also the response to a caller that disconnected; nobody reads it.
+func (s *Server) noAnswer(err error) error {
+	s.Logger.Debug("call without an answer", zap.Error(err))
+	return fail(translator.CodeNoAnswer, "the entry gave no answer; the call may have taken effect")
+}
--- /dev/null
+++ b/internal/edge/server/respond.go
@@ -0,0 +1,75 @@
+package server
+
+import (
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/burdockrudder/burdockrudder/internal/edge/translator"
+)
+
+// retryAfterSeconds spreads retries: most refusals that a retry can cure end
+// within about a second (a queue that empties, a lease that is renewed).
+const retryAfterSeconds = "1"
+
+func (s *Server) writeJSON(w http.ResponseWriter, status int, body any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	if err := json.NewEncoder(w).Encode(body); err != nil {
+		s.Logger.Debug("response was not delivered", zap.Error(err))
+	}
+}
+
+// writeError answers with the error body. Errors without a code are logged and
+// not shown, because they may name internals.
+func (s *Server) writeError(w http.ResponseWriter, err error) {
+	var fault *translator.Error
+	if !errors.As(err, &fault) {
+		s.Logger.Error("request failed", zap.Error(err))
+		fault = fail(translator.CodeInternal, "internal error; see the entry's log")
+	}
+	if fault.Code.Retryable() {
+		w.Header().Set("Retry-After", retryAfterSeconds)
+	}
+	if fault.Code == translator.CodeUnauthorized {
+		w.Header().Set("WWW-Authenticate", "Bearer")
+	}
+	s.writeJSON(w, fault.Code.Status(), fault)
+}
+
+func fail(code translator.Code, reason string) *translator.Error {
+	return &translator.Error{Code: code, Reason: reason}
+}
+
+func notFound() error {
+	return fail(translator.CodeNotFound, "no such object, or not visible to the key")
+}
+
+// readBody reads the whole body within BodyTimeout and the size limit. The read
+// deadline is lifted again: it would otherwise end the wait for the outcome.
+func (s *Server) readBody(w http.ResponseWriter, r *request) ([]byte, error) {
+	if r.ContentLength > maxBodyBytes {
+		return nil, tooLarge()
+	}
+	control := http.NewResponseController(w)
+	if err := control.SetReadDeadline(time.Now().Add(s.BodyTimeout)); err != nil {
+		return nil, err
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
+	var oversize *http.MaxBytesError
+	if errors.As(err, &oversize) {
+		return nil, tooLarge()
+	}
+	if err != nil {
+		return nil, fail(translator.CodeBadRequest, "the body did not arrive completely")
+	}
+	return body, control.SetReadDeadline(time.Time{})
+}
+
+func tooLarge() error {
+	return fail(translator.CodeTooLarge, "the body exceeds 4 MiB")
+}
--- /dev/null
+++ b/internal/edge/server/server.go
@@ -0,0 +1,157 @@
+// Package server serves the HTTP API of callers and operators.
+package server
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+)
+
+const (
+	maxBodyBytes   = 4 << 20
+	maxHeaderBytes = 16 << 10
+	// netHTTPHeaderSlop is what net/http reads beyond MaxHeaderBytes.
+	netHTTPHeaderSlop = 4 << 10
+	// idleTimeout exceeds the keep-alive of common load balancers (60 s), so that
+	// the balancer and not the entry closes an idle connection. The other order
+	// loses requests that are sent while the entry closes.
+	idleTimeout = 75 * time.Second
+)
+
+// Defaults of the fields of Server.
+const (
+	DefaultReadHeaderTimeout = 5 * time.Second
+	DefaultBodyTimeout       = 30 * time.Second
+	DefaultRefusalWindow     = 20 * time.Millisecond
+	// DefaultStopPatience exceeds the longest deadline of a submission (5 min),
+	// so that every open call can be answered.
+	DefaultStopPatience = 6 * time.Minute
+)
+
+// Server serves the API until the context of Run ends. Dispatcher and Settings
+// are required; the other fields have defaults.
+type Server struct {
+	// Address is the TCP address to listen on, unless Listener is set.
+	Address string
+	// Listener replaces Address.
+	Listener net.Listener
+	// TLS turns HTTPS on.
+	TLS *tls.Config
+	// RootKeySHA256 is the hex SHA-256 of the root operator key. Empty means that
+	// there is no such key.
+	RootKeySHA256 string
+	Dispatcher    Dispatcher
+	Settings      SettingsStore
+	// Metrics serves /metrics to operators. Nil means that there is no such path.
+	Metrics http.Handler
+	Logger  *zap.Logger
+	Scope   tally.Scope
+
+	// ReadHeaderTimeout bounds the time to send the header of a request.
+	ReadHeaderTimeout time.Duration
+	// BodyTimeout bounds the time to send the body of a request.
+	BodyTimeout time.Duration
+	// RefusalWindow is how long a submission with wait=false waits for a refusal
+	// before it is answered with 202.
+	RefusalWindow time.Duration
+	// StopPatience bounds the wait for open calls in a graceful stop.
+	StopPatience time.Duration
+
+	stopping   atomic.Bool
+	background errgroup.Group
+	lifetime   context.Context
+}
+
+// Run serves until ctx ends. It then accepts no further connections, waits for
+// the open calls to be answered, and returns nil, or an error if StopPatience
+// ran out first.
+func (s *Server) Run(ctx context.Context) error {
+	s.setDefaults()
+	lifetime, abandon := context.WithCancel(context.WithoutCancel(ctx))
+	defer abandon()
+	s.lifetime = lifetime
+	listener, err := s.listen()
+	if err != nil {
+		return err
+	}
+	web := s.httpServer()
+	group, groupCtx := errgroup.WithContext(ctx)
+	group.Go(func() error {
+		if err := web.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			return fmt.Errorf("serve %s: %w", listener.Addr(), err)
+		}
+		return nil
+	})
+	group.Go(func() error {
+		<-groupCtx.Done()
+		return s.stop(web, abandon)
+	})
+	return group.Wait()
+}
+
+func (s *Server) setDefaults() {
+	if s.Logger == nil {
+		s.Logger = zap.NewNop()
+	}
+	if s.Scope == nil {
+		s.Scope = tally.NoopScope
+	}
+	defaultTo(&s.ReadHeaderTimeout, DefaultReadHeaderTimeout)
+	defaultTo(&s.BodyTimeout, DefaultBodyTimeout)
+	defaultTo(&s.RefusalWindow, DefaultRefusalWindow)
+	defaultTo(&s.StopPatience, DefaultStopPatience)
+}
+
+func defaultTo(field *time.Duration, value time.Duration) {
+	if *field == 0 {
+		*field = value
+	}
+}
+
+func (s *Server) listen() (net.Listener, error) {
+	listener := s.Listener
+	if listener == nil {
+		var err error
+		listener, err = net.Listen("tcp", s.Address)
+		if err != nil {
+			return nil, fmt.Errorf("listen for HTTP: %w", err)
+		}
+	}
+	if s.TLS != nil {
+		listener = tls.NewListener(listener, s.TLS)
+	}
+	return listener, nil
+}
+
+func (s *Server) httpServer() *http.Server {
+	return &http.Server{
+		Handler:           s.handler(),
+		ReadHeaderTimeout: s.ReadHeaderTimeout,
+		MaxHeaderBytes:    maxHeaderBytes - netHTTPHeaderSlop,
+		IdleTimeout:       idleTimeout,
+		ErrorLog:          zap.NewStdLog(s.Logger),
+		BaseContext:       func(net.Listener) context.Context { return s.lifetime },
+	}
+}
+
+// stop lets open calls finish, and abandons them when StopPatience runs out.
+func (s *Server) stop(web *http.Server, abandon context.CancelFunc) error {
+	s.stopping.Store(true)
+	patience, cancel := context.WithTimeout(s.lifetime, s.StopPatience)
+	defer cancel()
+	defer context.AfterFunc(patience, abandon)()
+	err := web.Shutdown(patience)
+	if err != nil {
+		err = errors.Join(fmt.Errorf("open calls were abandoned: %w", err), web.Close())
+	}
+	return errors.Join(err, s.background.Wait())
+}
