--- a/internal/edge/caller/client.go
+++ b/internal/edge/caller/client.go
@@ -82,22 +82,34 @@
 	}
 	arrived := false
 	for _, server := range c.Servers {
-		var got reply
-		got, err = c.send(ctx, server, request, body)
-		if err == nil {
+		got, tryErr := c.send(ctx, server, request, body)
+		if tryErr == nil {
 			return decodeReply(got, target)
 		}
+		err = moreTelling(err, tryErr)
 		arrived = arrived || mayHaveArrived(err)
 		if ctx.Err() != nil || !nextMayServe(err) || (arrived && request.once) {
 			break
 		}
 	}
+	if request.method == http.MethodGet {
+		return err
+	}
 	if arrived && (mayHaveArrived(err) || refusesOnlyThisTry(err)) {
 		return &UnknownError{Err: err}
 	}
 	return err
 }
 
+// moreTelling keeps an entry's refusal when the next entry cannot be reached.
+func moreTelling(earlier, latest error) error {
+	var notSent *notSentError
+	if earlier != nil && errors.As(latest, &notSent) {
+		return earlier
+	}
+	return latest
+}
+
 func (r call) encode() ([]byte, error) {
 	if r.raw != nil || r.body == nil {
 		return r.raw, nil
