--- a/internal/edge/translator/bodies.go
+++ b/internal/edge/translator/bodies.go
@@ -14,9 +14,10 @@
 // ReasonHeader carries the operator's reason for a settings change.
 const ReasonHeader = "Burdockrudder-Reason"
 
-// Task is one task of a job.
+// Task is one task of a job. The payload is required; it may be any JSON value,
+// also null.
 type Task struct {
-	Payload         json.RawMessage   `json:"payload"`
+	Payload         json.RawMessage   `json:"payload,omitempty"`
 	Labels          []string          `json:"labels,omitempty"`
 	DeclaredRunTime resolver.Duration `json:"declared_run_time,omitzero"`
 }
