--- /dev/null
+++ b/cmd/burdockrudder/main.go
@@ -0,0 +1,24 @@
+// Command burdockrudder dispatches sub-second tasks. See its help for the commands.
+package main
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/burdockrudder/burdockrudder/internal/command/builder"
+)
+
+func main() {
+	os.Exit(run())
+}
+
+// run ends the context at the first SIGINT or SIGTERM. A second signal ends the
+// process at once, because the handler is removed by then.
+func run() int {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	context.AfterFunc(ctx, stop)
+	return builder.Run(ctx, builder.Root(), os.Stderr)
+}
