Digest nested payloads in linear time

The canonical form copied the inner text at each level: a body of 1 MiB nested 2,000 deep allocated 6.4 GB. Objects now carry the hash of each value. Also tests a take-out that loses every race and the Allow header of a 405.

--- a/internal/edge/server/operators_test.go
+++ b/internal/edge/server/operators_test.go
@@ -112,6 +112,17 @@
 	}
 }
 
+// Guards against a take-out that claims success, or never ends, when it loses
+// every race.
+func TestTakeOutLosesEveryRace(t *testing.T) {
+	r := start(t, nil)
+	r.store.races = 2 * domainChangeAttempts
+	got := r.do("POST", domainPath+"/sousse/take-out", operatorKey, `{"reason":"power work"}`)
+	if got.status != 409 || !strings.Contains(got.body, `"version":9`) {
+		t.Errorf("got %d %s, want 409 with version 9", got.status, got.body)
+	}
+}
+
 // Guards against take-outs that are refused without a typed reason.
 func TestOperatorPaths(t *testing.T) {
 	r := start(t, nil)
--- a/internal/edge/server/server_test.go
+++ b/internal/edge/server/server_test.go
@@ -118,6 +118,14 @@
 	}
 }
 
+// Guards against a 405 that does not say which methods the path has.
+func TestWrongMethodNamesTheOthers(t *testing.T) {
+	got := start(t, nil).do("PATCH", "/v1/settings", operatorKey, "")
+	if allow := got.header.Get("Allow"); got.status != 405 || !strings.Contains(allow, "PUT") {
+		t.Errorf("got %d with Allow %q", got.status, allow)
+	}
+}
+
 // Guards against a header that fills the entry's memory.
 func TestOversizeHeader(t *testing.T) {
 	r := start(t, nil)
--- a/internal/edge/translator/decode_test.go
+++ b/internal/edge/translator/decode_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"errors"
+	"runtime"
+	"strings"
 	"testing"
 
 	"github.com/burdockrudder/burdockrudder/internal/dispatch/messenger"
@@ -78,6 +80,22 @@
 	}
 }
 
+// Guards against a nested payload that makes one call allocate gigabytes: the
+// canonical form once copied the inner text at each level.
+func TestNestedPayloadIsCheap(t *testing.T) {
+	const depth, size = 2000, 1 << 20
+	body := `{"payload":` + strings.Repeat(`{"x":`, depth) + `"` + strings.Repeat("y", size) + `"` + strings.Repeat("}", depth) + "}"
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	if _, err := DecodeSubmission(messenger.KindRequest, []byte(body)); err != nil {
+		t.Fatal(err)
+	}
+	runtime.ReadMemStats(&after)
+	if allocated := after.TotalAlloc - before.TotalAlloc; allocated > 64*size {
+		t.Errorf("allocated %d bytes for a body of %d", allocated, len(body))
+	}
+}
+
 // Guards against panics and against an accepted body without tasks or digest.
 func FuzzDecodeSubmission(f *testing.F) {
 	f.Add(`{"id":"a","tasks":[{"payload":{"x":1},"labels":["p"],"declared_run_time":"50ms"}],"deadline":"3s"}`, true)
--- a/internal/edge/translator/digest.go
+++ b/internal/edge/translator/digest.go
@@ -37,7 +37,9 @@
 }
 
 // canonical drops white space and sorts the fields of objects. Repeated fields
-// keep their order, because endpoints may differ in which one they read.
+// keep their order, because endpoints may differ in which one they read. The
+// value of a field is represented by its SHA-256: copying the text at each level
+// would cost the product of size and depth.
 func canonical(text []byte) ([]byte, error) {
 	decoder := json.NewDecoder(bytes.NewReader(text))
 	decoder.UseNumber()
@@ -78,7 +80,7 @@
 }
 
 func canonicalObject(decoder *json.Decoder, out *bytes.Buffer) error {
-	type field struct{ key, value string }
+	type field struct{ key, sum string }
 	var fields []field
 	for decoder.More() {
 		var key, value bytes.Buffer
@@ -88,12 +90,13 @@
 		if err := canonicalValue(decoder, &value); err != nil {
 			return err
 		}
-		fields = append(fields, field{key.String(), value.String()})
+		sum := sha256.Sum256(value.Bytes())
+		fields = append(fields, field{key.String(), string(sum[:])})
 	}
 	slices.SortStableFunc(fields, func(a, b field) int { return strings.Compare(a.key, b.key) })
 	out.WriteByte('{')
 	for _, f := range fields {
-		out.WriteString(f.key + ":" + f.value + ",")
+		out.WriteString(f.key + ":" + f.sum)
 	}
 	out.WriteByte('}')
 	_, err := decoder.Token()
