--- /dev/null
+++ b/internal/transport/authenticator/keys.go
@@ -0,0 +1,68 @@
+package authenticator
+
+import (
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/hex"
+	"errors"
+	"strings"
+)
+
+// KeyHash is the SHA-256 of an API key's secret. Settings hold hashes only.
+type KeyHash [sha256.Size]byte
+
+// HashKey returns the hash of a secret. A plain hash is enough, because secrets
+// are random and long; there is nothing to guess from a dictionary.
+func HashKey(secret string) KeyHash {
+	return sha256.Sum256([]byte(secret))
+}
+
+// ParseKeyHash reads a hash from hexadecimal. The error does not repeat the
+// text, which might be a secret that was entered by mistake.
+func ParseKeyHash(text string) (KeyHash, error) {
+	var hash KeyHash
+	data, err := hex.DecodeString(text)
+	if err != nil || len(data) != len(hash) {
+		return KeyHash{}, errors.New("key hash is not 64 hexadecimal digits")
+	}
+	copy(hash[:], data)
+	return hash, nil
+}
+
+// String returns the hash in hexadecimal.
+func (h KeyHash) String() string {
+	return hex.EncodeToString(h[:])
+}
+
+// Key grants T to whoever shows the secret of the hash.
+type Key[T any] struct {
+	Hash  KeyHash
+	Grant T
+}
+
+// FindKey returns the grant of a secret. It compares with every key in constant
+// time, so the time taken does not tell how close a guess was.
+func FindKey[T any](keys []Key[T], secret string) (T, bool) {
+	hash := HashKey(secret)
+	found := -1
+	for i := range keys {
+		match := subtle.ConstantTimeCompare(hash[:], keys[i].Hash[:])
+		found = subtle.ConstantTimeSelect(match, i, found)
+	}
+	if found < 0 {
+		var none T
+		return none, false
+	}
+	return keys[found].Grant, true
+}
+
+// Bearer returns the secret of an Authorization header. The scheme is compared
+// without regard to case, as RFC 9110 requires.
+func Bearer(header string) (string, bool) {
+	scheme, secret, ok := strings.Cut(header, " ")
+	if !ok || !strings.EqualFold(scheme, "bearer") {
+		return "", false
+	}
+	secret = strings.TrimSpace(secret)
+	return secret, secret != ""
+}
