--- /dev/null
+++ b/internal/transport/linker/metrics.go
@@ -0,0 +1,67 @@
+package linker
+
+import (
+	"sync/atomic"
+
+	"github.com/uber-go/tally/v4"
+
+	"github.com/burdockrudder/burdockrudder/internal/dispatch/messenger"
+)
+
+// meter counts the messages of one kind in one direction.
+type meter struct {
+	messages tally.Counter
+	bytes    tally.Counter
+}
+
+func (m *meter) add(size int) {
+	m.messages.Inc(1)
+	m.bytes.Inc(int64(size))
+}
+
+// meters holds the meters of one direction, by kind byte. It avoids a lookup by
+// tags for each message.
+type meters struct {
+	scope  tally.Scope
+	byKind [256]atomic.Pointer[meter]
+}
+
+func (s *meters) of(kind byte, m messenger.Message) *meter {
+	if found := s.byKind[kind].Load(); found != nil {
+		return found
+	}
+	scope := s.scope.Tagged(map[string]string{"kind": messenger.KindName(m)})
+	created := &meter{messages: scope.Counter("messages"), bytes: scope.Counter("bytes")}
+	s.byKind[kind].Store(created)
+	return created
+}
+
+// metrics are those of one transport.
+type metrics struct {
+	in, out meters
+	// links is the number of live links. The counters tell how it came about.
+	links       tally.Gauge
+	linked      tally.Counter
+	replaced    tally.Counter
+	unlinked    tally.Counter
+	refused     tally.Counter
+	races       tally.Counter
+	overflows   tally.Counter
+	undecodable tally.Counter
+}
+
+func newMetrics(scope tally.Scope) *metrics {
+	m := &metrics{
+		links:       scope.Gauge("links"),
+		linked:      scope.Counter("linked"),
+		replaced:    scope.Counter("replaced"),
+		unlinked:    scope.Counter("unlinked"),
+		refused:     scope.Counter("refused"),
+		races:       scope.Counter("races"),
+		overflows:   scope.Counter("overflows"),
+		undecodable: scope.Counter("undecodable"),
+	}
+	m.in.scope = scope.Tagged(map[string]string{"direction": "in"})
+	m.out.scope = scope.Tagged(map[string]string{"direction": "out"})
+	return m
+}
