Add QUIC links with probes and raced connections

Open connections may go silent for good while new ones work, so a dialer races a second connection against a silent one. Handler calls of one incarnation are serialised, so that no message of a replaced link follows the Linked call of its replacement. The cause of a closed link is set before its connection is closed, because reader and writer errors hid it otherwise. A link that the acceptor closed as replaced waits for its successor, which avoids an Unlinked call when a process is known under two addresses.

--- /dev/null
+++ b/internal/transport/linker/acceptor.go
@@ -0,0 +1,108 @@
+package linker
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/quic-go/quic-go"
+	"go.uber.org/zap"
+
+	"github.com/burdockrudder/burdockrudder/internal/dispatch/messenger"
+)
+
+// acceptSilence is the silence after which an acceptor closes a link. A dialer
+// races a new connection well before that.
+const acceptSilence = 3 * time.Second
+
+var errWrongDialer = errors.New("the other side dials this pair")
+
+func (t *Transport) accept(ctx context.Context, listener *quic.Listener) error {
+	for {
+		conn, err := listener.Accept(ctx)
+		if ctx.Err() != nil {
+			return listener.Close()
+		}
+		if err != nil {
+			return fmt.Errorf("accept: %w", err)
+		}
+		t.group.Go(func() error {
+			t.admit(ctx, conn)
+			return nil
+		})
+	}
+}
+
+// admit serves one accepted connection to its end.
+func (t *Transport) admit(ctx context.Context, conn *quic.Conn) {
+	l, err := t.greet(ctx, conn)
+	if err != nil {
+		t.refuse(conn, err)
+		return
+	}
+	if err := t.registry.attach(l); err != nil {
+		l.fail(err)
+		t.refuse(conn, err)
+		return
+	}
+	t.serve(l)
+	t.registry.detach(l)
+}
+
+func (t *Transport) refuse(conn *quic.Conn, err error) {
+	_ = conn.CloseWithError(codeRefused, err.Error())
+	if errors.Is(err, errWrongDialer) {
+		return
+	}
+	t.metrics.refused.Inc(1)
+	t.Logger.Warn("link refused", zap.Stringer("address", conn.RemoteAddr()), zap.Error(err))
+}
+
+// greet reads and checks the hello of a dialer, and queues the welcome as the
+// first message of the link.
+func (t *Transport) greet(ctx context.Context, conn *quic.Conn) (*link, error) {
+	limited, cancel := context.WithTimeout(ctx, greetTimeout)
+	defer cancel()
+	defer closeOnEnd(limited, conn)()
+	stream, err := conn.AcceptStream(limited)
+	if err != nil {
+		return nil, fmt.Errorf("accept stream: %w", err)
+	}
+	l := t.prepare(ctx, quicWire{stream, conn}, acceptSilence)
+	if err := t.answerHello(limited, l, conn); err != nil {
+		l.fail(err)
+		return nil, err
+	}
+	return l, nil
+}
+
+func (t *Transport) answerHello(ctx context.Context, l *link, conn *quic.Conn) error {
+	hello, err := readMessage[messenger.Hello](l)
+	if err != nil {
+		return err
+	}
+	if err := verifyPeer(conn, hello); err != nil {
+		return err
+	}
+	l.peer = hello
+	welcome := messenger.Welcome{Name: t.Hello.Name, Incarnation: t.Hello.Incarnation}
+	if !accepts(t.Hello, hello) {
+		return turnAway(ctx, l, conn, welcome)
+	}
+	l.send(welcome)
+	return nil
+}
+
+// turnAway tells a dialer who we are and waits until it has read that and closed
+// the connection. It happens to entries that dial a bootstrap address.
+func turnAway(ctx context.Context, l *link, conn *quic.Conn, welcome messenger.Welcome) error {
+	if err := writeMessage(l, welcome); err != nil {
+		return err
+	}
+	select {
+	case <-ctx.Done():
+	case <-conn.Context().Done():
+	}
+	return errWrongDialer
+}
--- /dev/null
+++ b/internal/transport/linker/link_test.go
@@ -0,0 +1,194 @@
+package linker
+
+import (
+	"context"
+	"encoding/binary"
+	"errors"
+	"net"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/burdockrudder/burdockrudder/internal/dispatch/messenger"
+)
+
+// pipeWire runs a link without a network, so that its clock can be simulated.
+type pipeWire struct{ net.Conn }
+
+func (w pipeWire) close(error) { _ = w.Close() }
+
+func pipeLink(t *testing.T, deliver func(*link, messenger.Message)) (*link, net.Conn) {
+	t.Helper()
+	near, far := net.Pipe()
+	l := newLink(t.Context(), pipeWire{near})
+	l.metrics = testMetrics()
+	l.logger = zap.NewNop()
+	l.deliver = deliver
+	l.probeInterval = DefaultProbeInterval
+	l.silenceLimit = acceptSilence
+	return l, far
+}
+
+func ignore(*link, messenger.Message) {}
+
+// Guards against an idle link that carries no pings or too many, and against one
+// that is not closed when its peer is silent. The pipe's far end only reads.
+func TestIdleLinkProbesAndClosesWhenSilent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l, far := pipeLink(t, ignore)
+		start := time.Now()
+		pings := 0
+		var group errgroup.Group
+		group.Go(func() error {
+			frames := newFrameReader(far)
+			for {
+				if _, err := frames.next(); err != nil {
+					return nil
+				}
+				pings++
+			}
+		})
+		if err := l.serve(); !errors.Is(err, errSilent) {
+			t.Errorf("link ended with %v; want silence", err)
+		}
+		_ = group.Wait()
+		if spent := time.Since(start); spent != acceptSilence {
+			t.Errorf("closed after %v; want %v", spent, acceptSilence)
+		}
+		if most := int(acceptSilence / DefaultProbeInterval); pings < most-1 || pings > most {
+			t.Errorf("%d pings; want %d or one less", pings, most)
+		}
+	})
+}
+
+// Guards against a link that counts as silent although pings arrive.
+func TestPingsKeepLinkOpen(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		near, far := pipeLink(t, ignore)
+		other := newLink(t.Context(), pipeWire{far})
+		other.metrics, other.logger, other.deliver = near.metrics, near.logger, ignore
+		other.probeInterval, other.silenceLimit = near.probeInterval, near.silenceLimit
+		var group errgroup.Group
+		group.Go(func() error { _ = near.serve(); return nil })
+		group.Go(func() error { _ = other.serve(); return nil })
+		time.Sleep(time.Minute)
+		synctest.Wait()
+		if near.ctx.Err() != nil || other.ctx.Err() != nil {
+			t.Error("link with probes was closed:", context.Cause(near.ctx), context.Cause(other.ctx))
+		}
+		near.fail(errReplaced)
+		other.fail(errReplaced)
+		_ = group.Wait()
+	})
+}
+
+// Guards against an oversized frame that is read, or skipped, instead of closing
+// the link, and against a second hello.
+func TestBadFramesCloseLink(t *testing.T) {
+	hello, err := messenger.Encode(messenger.Hello{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for name, test := range map[string]struct {
+		stream []byte
+		want   error
+	}{
+		"oversized frame": {binary.AppendUvarint(nil, frameLimit+1), errFrameTooLarge},
+		"second hello":    {appendFrame(nil, hello), errProtocol},
+	} {
+		t.Run(name, func(t *testing.T) {
+			l, far := pipeLink(t, ignore)
+			var group errgroup.Group
+			group.Go(func() error {
+				_, err := far.Write(test.stream)
+				return err
+			})
+			if err := l.serve(); !errors.Is(err, test.want) {
+				t.Errorf("link ended with %v; want %v", err, test.want)
+			}
+			if err := group.Wait(); err != nil {
+				t.Error(err)
+			}
+		})
+	}
+}
+
+// Guards against a message of an unknown kind, from a newer version, that closes
+// the link or hides the messages behind it.
+func TestUnknownKindIsSkipped(t *testing.T) {
+	received := make(chan messenger.Message, 1)
+	l, far := pipeLink(t, func(_ *link, m messenger.Message) { received <- m })
+	known, err := messenger.Encode(messenger.PeerStatus{Sequence: 7})
+	if err != nil {
+		t.Fatal(err)
+	}
+	var group errgroup.Group
+	group.Go(func() error { _ = l.serve(); return nil })
+	if _, err := far.Write(appendFrame(appendFrame(nil, []byte{255, 0xa0}), known)); err != nil {
+		t.Fatal(err)
+	}
+	if m := <-received; m != (messenger.PeerStatus{Sequence: 7}) {
+		t.Errorf("received %+v", m)
+	}
+	l.fail(errReplaced)
+	_ = group.Wait()
+}
+
+// Guards against messages lost on a live link when its peer reads too slowly:
+// the link closes instead. Nothing reads from the pipe.
+func TestQueueOverflowClosesLink(t *testing.T) {
+	l, _ := pipeLink(t, ignore)
+	var group errgroup.Group
+	group.Go(l.serve)
+	limit := 2*queueMessages + batchBytes
+	sent := 0
+	for l.send(messenger.PeerStatus{Sequence: uint64(sent)}) {
+		if sent++; sent > limit {
+			t.Fatal("queue does not fill")
+		}
+	}
+	if err := group.Wait(); !errors.Is(err, errOverflow) {
+		t.Errorf("link ended with %v; want overflow", err)
+	}
+	if sent < queueMessages {
+		t.Errorf("closed after %d messages; want at least %d", sent, queueMessages)
+	}
+	if l.send(messenger.Ping{}) {
+		t.Error("closed link accepted a message")
+	}
+}
+
+// Guards against an oversized message that closes the link of its sender.
+func TestOversizedMessageIsNotSent(t *testing.T) {
+	l, _ := pipeLink(t, ignore)
+	if l.send(messenger.Start{Payload: make([]byte, frameLimit)}) {
+		t.Error("oversized message accepted")
+	}
+	if l.ctx.Err() != nil {
+		t.Error("link closed:", context.Cause(l.ctx))
+	}
+	l.fail(errReplaced)
+}
+
+// Guards against a delay hook that does not delay.
+func TestDelay(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l, far := pipeLink(t, ignore)
+		l.delay = func(messenger.Hello) time.Duration { return 3 * time.Millisecond }
+		var group errgroup.Group
+		group.Go(func() error { _ = l.serve(); return nil })
+		start := time.Now()
+		l.send(messenger.PeerStatus{})
+		if _, err := newFrameReader(far).next(); err != nil {
+			t.Error(err)
+		}
+		if spent := time.Since(start); spent != 3*time.Millisecond {
+			t.Errorf("delayed by %v; want 3ms", spent)
+		}
+		l.fail(errReplaced)
+		_ = group.Wait()
+	})
+}
--- /dev/null
+++ b/internal/transport/linker/registry.go
@@ -0,0 +1,118 @@
+package linker
+
+import (
+	"fmt"
+	"sync"
+	"sync/atomic"
+
+	"github.com/burdockrudder/burdockrudder/internal/dispatch/messenger"
+)
+
+// peer is a linked incarnation.
+type peer struct {
+	// mu serialises the handler calls for this incarnation. It makes sure that
+	// no message of a replaced link is delivered after the next Linked call.
+	mu sync.Mutex
+	// current is the link that delivers messages. Send reads it without mu, so
+	// that a handler may send from within a call.
+	current atomic.Pointer[link]
+	// gone is closed, under mu, when the last link has ended.
+	gone chan struct{}
+	left bool
+}
+
+// registry holds the linked peers and calls the handler.
+type registry struct {
+	handler Handler
+	metrics *metrics
+
+	mu    sync.RWMutex
+	peers map[messenger.Incarnation]*peer
+}
+
+func (r *registry) find(incarnation messenger.Incarnation) *peer {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	return r.peers[incarnation]
+}
+
+func (r *registry) findOrAdd(incarnation messenger.Incarnation) *peer {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	p, ok := r.peers[incarnation]
+	if !ok {
+		p = &peer{gone: make(chan struct{})}
+		r.peers[incarnation] = p
+		r.metrics.links.Update(float64(len(r.peers)))
+	}
+	return p
+}
+
+// remove requires that the caller holds p.mu.
+func (r *registry) remove(incarnation messenger.Incarnation, p *peer) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	p.left = true
+	delete(r.peers, incarnation)
+	close(p.gone)
+	r.metrics.links.Update(float64(len(r.peers)))
+}
+
+// attach makes l the link of its peer and closes the one before.
+func (r *registry) attach(l *link) error {
+	for {
+		p := r.findOrAdd(l.peer.Incarnation)
+		attached, err := r.attachTo(p, l)
+		if attached || err != nil {
+			return err
+		}
+	}
+}
+
+// attachTo reports false if p was removed before it could be locked.
+func (r *registry) attachTo(p *peer, l *link) (bool, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.left {
+		return false, nil
+	}
+	old := p.current.Load()
+	if old != nil && (old.peer.Name != l.peer.Name || old.peer.Role != l.peer.Role) {
+		return false, fmt.Errorf("incarnation %q belongs to %s %q", l.peer.Incarnation, old.peer.Role, old.peer.Name)
+	}
+	l.owner = p
+	p.current.Store(l)
+	r.metrics.linked.Inc(1)
+	if old != nil {
+		r.metrics.replaced.Inc(1)
+		old.fail(errReplaced)
+		close(old.superseded)
+	}
+	r.handler.Linked(l.peer)
+	return true, nil
+}
+
+// detach ends the peer unless another link has replaced l.
+func (r *registry) detach(l *link) {
+	p := l.owner
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.current.Load() != l {
+		return
+	}
+	p.current.Store(nil)
+	r.remove(l.peer.Incarnation, p)
+	r.metrics.unlinked.Inc(1)
+	r.handler.Unlinked(l.peer.Incarnation)
+}
+
+// deliver hands a message to the handler unless its link was replaced.
+func (r *registry) deliver(l *link, m messenger.Message) {
+	p := l.owner
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.current.Load() != l {
+		return
+	}
+	r.handler.Received(l.peer.Incarnation, m)
+}
--- /dev/null
+++ b/internal/transport/linker/wire.go
@@ -0,0 +1,141 @@
+package linker
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/quic-go/quic-go"
+
+	"github.com/burdockrudder/burdockrudder/internal/dispatch/messenger"
+	"github.com/burdockrudder/burdockrudder/internal/transport/authenticator"
+)
+
+const (
+	// protocol is the ALPN name. Its number changes when the framing does.
+	protocol = "burdockrudder/1"
+	// idleTimeout ends connections whose peer does not even acknowledge packets.
+	idleTimeout = 10 * time.Second
+	// greetTimeout bounds the time from the first packet to the welcome.
+	greetTimeout = 2 * time.Second
+)
+
+// The application error codes of a closed connection, for packet traces.
+const (
+	codeClosed quic.ApplicationErrorCode = iota
+	codeRefused
+	codeReplaced
+	codeSilent
+	codeOverflow
+	codeProtocol
+)
+
+// quicConfig allows the dialer one stream. Keep-alives are off, because links
+// carry their own probes.
+func quicConfig() *quic.Config {
+	return &quic.Config{
+		HandshakeIdleTimeout:  greetTimeout,
+		MaxIdleTimeout:        idleTimeout,
+		KeepAlivePeriod:       0,
+		Allow0RTT:             false,
+		MaxIncomingStreams:    1,
+		MaxIncomingUniStreams: -1,
+	}
+}
+
+func withProtocol(config *tls.Config) *tls.Config {
+	config = config.Clone()
+	config.NextProtos = []string{protocol}
+	return config
+}
+
+// quicWire is one stream and its connection.
+type quicWire struct {
+	*quic.Stream
+	conn *quic.Conn
+}
+
+func (w quicWire) close(cause error) {
+	_ = w.conn.CloseWithError(codeOf(cause), causeText(cause))
+}
+
+func codeOf(cause error) quic.ApplicationErrorCode {
+	switch {
+	case errors.Is(cause, errReplaced):
+		return codeReplaced
+	case errors.Is(cause, errSilent):
+		return codeSilent
+	case errors.Is(cause, errOverflow):
+		return codeOverflow
+	case errors.Is(cause, errProtocol), errors.Is(cause, errFrameTooLarge):
+		return codeProtocol
+	default:
+		return codeClosed
+	}
+}
+
+// closedAsReplaced tells whether the peer closed a connection as replaced.
+func closedAsReplaced(cause error) bool {
+	var closed *quic.ApplicationError
+	return errors.As(cause, &closed) && closed.Remote && closed.ErrorCode == codeReplaced
+}
+
+func causeText(cause error) string {
+	if cause == nil {
+		return ""
+	}
+	return cause.Error()
+}
+
+// readMessage reads one message while the link is being set up.
+func readMessage[M messenger.Message](l *link) (M, error) {
+	var none M
+	data, err := l.frames.next()
+	if err != nil {
+		return none, fmt.Errorf("read %T: %w", none, err)
+	}
+	m, err := messenger.Decode(data)
+	if err != nil {
+		return none, err
+	}
+	wanted, ok := m.(M)
+	if !ok {
+		return none, fmt.Errorf("%w: %s instead of %T", errProtocol, messenger.KindName(m), none)
+	}
+	return wanted, nil
+}
+
+// writeMessage writes one message while the link is being set up.
+func writeMessage(l *link, m messenger.Message) error {
+	data, err := messenger.Encode(m)
+	if err != nil {
+		return err
+	}
+	if _, err := l.wire.Write(appendFrame(nil, data)); err != nil {
+		return fmt.Errorf("write %T: %w", m, err)
+	}
+	return nil
+}
+
+// verifyPeer checks a hello, or what is known of a peer from its welcome,
+// against the certificate of the connection.
+func verifyPeer(conn *quic.Conn, peer messenger.Hello) error {
+	if err := checkHello(peer); err != nil {
+		return err
+	}
+	identity, err := authenticator.PeerIdentity(conn.ConnectionState().TLS)
+	if err != nil {
+		return err
+	}
+	return identity.Check(authenticator.Identity{Name: peer.Name, Role: string(peer.Role)})
+}
+
+// closeOnEnd closes the connection when ctx ends, which unblocks the setup of a
+// link. The setup calls stop when it is done.
+func closeOnEnd(ctx context.Context, conn *quic.Conn) (stop func() bool) {
+	return context.AfterFunc(ctx, func() {
+		_ = conn.CloseWithError(codeClosed, causeText(context.Cause(ctx)))
+	})
+}
