Hold tasks back for fast endpoints and let others pass

Least expected finish among free slots puts long tasks on slow endpoints just before a fast slot is free, since declared times do not tell the long tasks apart. Holding back only the first task helps less, because it keeps the tasks behind it from the slow slots, and without the number of waiting tasks the queue grows without bound.

Queue.Scan now passes over held tasks, and Choose weighs the wait by the task's place among them. Run times are learnt per range of declared times.

--- a/internal/dispatch/limiter/queue.go
+++ b/internal/dispatch/limiter/queue.go
@@ -3,6 +3,7 @@
 import (
 	"container/heap"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/burdockrudder/burdockrudder/internal/dispatch/messenger"
@@ -38,6 +39,10 @@
 	lines   map[string]*line
 	// virtual is the virtual time: the start tag of the task served last.
 	virtual float64
+	// held are the tasks that Scan passed over, in the order of their claim.
+	held []*entry
+	// cursor selects the held task that Scan visits out of turn.
+	cursor int
 }
 
 // entry is an item with its place in the heaps.
@@ -45,6 +50,7 @@
 	Item
 	level int
 	line  *line
+	held  bool
 	// at is the position in the backlog, rise in the level's heap of promotions.
 	at, rise int
 }
@@ -94,7 +100,8 @@
 	q.insert(e, effective(now, item))
 }
 
-// Peek returns the task that is due, and false if none may start. Ties are
+// Peek returns the task that is due, and false if none may start. Tasks that
+// Scan has held back come first. Ties are
 // broken by arrival, so the random source is not used.
 func (q *Queue) Peek(now time.Time, _ *rand.Rand) (Item, bool) {
 	e := q.next(now)
@@ -111,12 +118,20 @@
 	if e == nil {
 		return Item{}, false
 	}
-	q.virtual = max(q.virtual, e.line.start)
-	e.line.start += 1 / e.line.account.weight()
+	q.charge(e)
 	q.delete(e)
 	return e.Item, true
 }
 
+// charge counts a task against its team's share, once.
+func (q *Queue) charge(e *entry) {
+	if e.held {
+		return
+	}
+	q.virtual = max(q.virtual, e.line.start)
+	e.line.start += 1 / e.line.account.weight()
+}
+
 // Remove takes a task out, and returns false if it does not wait.
 func (q *Queue) Remove(task messenger.TaskKey) bool {
 	e, waits := q.entries[task]
@@ -136,7 +151,11 @@
 }
 
 func (q *Queue) delete(e *entry) {
-	q.extract(e)
+	if e.held {
+		q.held = slices.DeleteFunc(q.held, func(other *entry) bool { return other == e })
+	} else {
+		q.extract(e)
+	}
 	delete(q.entries, e.Task)
 	e.line.account.waiting--
 	e.line.waiting--
@@ -196,6 +215,15 @@
 }
 
 func (q *Queue) next(now time.Time) *entry {
+	for _, e := range q.held {
+		if e.line.account.mayStart() {
+			return e
+		}
+	}
+	return q.nextInLine(now)
+}
+
+func (q *Queue) nextInLine(now time.Time) *entry {
 	q.promote(now)
 	for i := levels - 1; i >= 0; i-- {
 		if l := q.levels[i].first(i); l != nil {
--- a/internal/dispatch/limiter/queue_test.go
+++ b/internal/dispatch/limiter/queue_test.go
@@ -172,6 +172,14 @@
 		q := NewQueue("f", teams)
 		now, pushed, running := epoch, 0, map[string]int{}
 		waits := map[messenger.TaskKey]Item{}
+		started := func(got Item) {
+			delete(waits, got.Task)
+			running[got.Team]++
+			teams.Started("f", got.Team)
+			if limits[got.Team] > 0 && running[got.Team] > limits[got.Team] {
+				t.Fatalf("team %s above its limit", got.Team)
+			}
+		}
 		serve := func() bool {
 			got, ok := q.Pop(now, nil)
 			if !ok {
@@ -180,12 +188,7 @@
 			if waits[got.Task] != got {
 				t.Fatalf("popped %+v, pushed %+v", got, waits[got.Task])
 			}
-			delete(waits, got.Task)
-			running[got.Team]++
-			teams.Started("f", got.Team)
-			if limits[got.Team] > 0 && running[got.Team] > limits[got.Team] {
-				t.Fatalf("team %s above its limit", got.Team)
-			}
+			started(got)
 			return true
 		}
 		end := func(name string) {
@@ -207,6 +210,18 @@
 			"wait": func(t *rapid.T) {
 				now = now.Add(time.Duration(rapid.IntRange(1, 3000).Draw(t, "ms")) * time.Millisecond)
 			},
+			"scan": func(t *rapid.T) {
+				q.Scan(now, func(i Item, place int) Step {
+					if waits[i.Task] != i || place < 1 {
+						t.Fatalf("visited %+v at %d, pushed %+v", i, place, waits[i.Task])
+					}
+					step := rapid.SampledFrom([]Step{Take, Hold, Hold, Stop}).Draw(t, "step")
+					if step == Take {
+						started(i)
+					}
+					return step
+				})
+			},
 			"remove": func(t *rapid.T) {
 				key := task(fmt.Sprint(rapid.IntRange(0, pushed+1).Draw(t, "id")))
 				_, want := waits[key]
--- /dev/null
+++ b/internal/dispatch/limiter/scan_test.go
@@ -0,0 +1,107 @@
+package limiter
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/burdockrudder/burdockrudder/internal/settings/resolver"
+)
+
+// visits scans q and returns the tasks visited with their places. It answers
+// Take for the tasks named in take, Hold for all others.
+func visits(q *Queue, now time.Time, take ...string) string {
+	got := ""
+	q.Scan(now, func(i Item, place int) Step {
+		got += fmt.Sprintf("%s@%d ", i.Task.Submission.ID, place)
+		for _, id := range take {
+			if id == i.Task.Submission.ID {
+				return Take
+			}
+		}
+		return Hold
+	})
+	return got
+}
+
+// Guards against a held task that keeps others from free slots, loses its place,
+// or keeps a fast slot from a task of higher priority.
+func TestScanPassesOverHeldTasks(t *testing.T) {
+	q := NewQueue("f", NewTeams())
+	for i, id := range []string{"a", "b", "c"} {
+		q.Push(epoch, item(id, "t", normal, 0, uint64(i)))
+	}
+	expect := func(got, want string) {
+		t.Helper()
+		if got != want {
+			t.Errorf("visited %s, want %s", got, want)
+		}
+	}
+	expect(visits(q, epoch, "b"), "a@1 b@2 c@2 ")
+	q.Push(epoch, item("d", "t", high, 0, 9))
+	expect(visits(q, epoch), "a@1 c@2 d@1 ")
+	expect(visits(q, epoch, "a"), "d@1 a@2 c@2 ")
+	if first, _ := q.Peek(epoch, nil); first.Task != task("d") {
+		t.Errorf("Peek returns %v, not the first held task", first.Task)
+	}
+	if !q.Remove(task("d")) || q.Len() != 1 {
+		t.Errorf("a held task was not removed, %d wait", q.Len())
+	}
+	expect(visits(q, epoch, "c"), "c@1 ")
+	q.Scan(epoch, func(Item, int) Step { t.Error("visited an empty queue"); return Stop })
+}
+
+// Guards against held tasks of a team at its limit that keep other teams from
+// the fast endpoint they wait for.
+func TestScanPassesOverHeldTasksOfTeamAtLimit(t *testing.T) {
+	teams := NewTeams()
+	q := NewQueue("f", teams)
+	for i := range 2 * maxTries {
+		q.Push(epoch, item(fmt.Sprint("full", i), "t", high, 0, uint64(i)))
+	}
+	for range 2 {
+		visits(q, epoch)
+	}
+	q.Push(epoch, item("u", "u", low, 0, 99))
+	visits(q, epoch)
+	teams.Set("f", "t", resolver.Team{MaxRunningTasks: 1})
+	teams.Started("f", "t")
+	if got, want := visits(q, epoch), fmt.Sprintf("u@%d ", 2*maxTries+1); got != want {
+		t.Errorf("visited %s, want %s", got, want)
+	}
+}
+
+// Guards against an event whose cost grows with the number of tasks that wait or
+// are held, and against a held task that is never visited again.
+func TestScanIsBounded(t *testing.T) {
+	const n = 3 * maxHeld
+	q := NewQueue("f", NewTeams())
+	for i := range n {
+		q.Push(epoch, item(fmt.Sprint(i), "t", normal, 0, uint64(i)))
+	}
+	seen := map[string]bool{}
+	for range 2 * maxHeld {
+		count := 0
+		q.Scan(epoch, func(i Item, _ int) Step {
+			count++
+			seen[i.Task.Submission.ID] = true
+			return Hold
+		})
+		if count > 2*maxTries+1 {
+			t.Fatalf("one scan visited %d tasks", count)
+		}
+	}
+	if len(q.held) != maxHeld {
+		t.Errorf("%d held", len(q.held))
+	}
+	clear(seen)
+	for range maxHeld {
+		visits := func(i Item, _ int) Step { seen[i.Task.Submission.ID] = true; return Hold }
+		q.Scan(epoch, visits)
+	}
+	for _, e := range q.held {
+		if !seen[e.Task.Submission.ID] {
+			t.Errorf("held task %s is not visited", e.Task.Submission.ID)
+		}
+	}
+}
--- a/internal/dispatch/placer/choose.go
+++ b/internal/dispatch/placer/choose.go
@@ -22,8 +22,9 @@
 	Avoid string
 	// Urgent tasks are not used to probe an ejected endpoint.
 	Urgent bool
-	// Waiting is the number of tasks of the class that wait behind this one.
-	// While others wait, slots of slow endpoints are less likely to be left unused.
+	// Waiting is the place of the task among those that wait for a faster
+	// endpoint, from 1. Without it (0), the task is not held back: if every task
+	// were taken for the next in line, the queue would grow without bound.
 	Waiting int
 }
 
@@ -40,25 +41,28 @@
 	ReasonOnly        = "only_candidate"
 	ReasonLeastFinish = "least_expected_finish"
 	ReasonProbe       = "probe"
+	ReasonHeldBack    = "held_back"
 )
 
 // Policy holds the options of Choose.
 type Policy struct {
 	// HoldBack leaves the slot of a slow endpoint unused if waiting for a faster
-	// one is expected to finish earlier. The caller asks again when a task
-	// returns, or after a short time.
+	// one is expected to finish earlier. The slot remains for the tasks behind.
+	// The caller asks again when a task returns, or after a short time.
 	HoldBack bool
-	// Margin is how many times later the slow endpoint must be expected to finish.
+	// Margin is how many times the expected wait must fit into the expected gain.
 	Margin float64
 }
 
-// DefaultPolicy returns the options that New sets.
+// DefaultPolicy returns the options that New sets. BenchmarkPolicies compares
+// them with others.
 func DefaultPolicy() Policy {
-	return Policy{HoldBack: false, Margin: 1.2}
+	return Policy{HoldBack: true, Margin: 1.5}
 }
 
 // Choose returns the endpoint with the least expected finish among those with a
-// slot thought free. It returns false if the task should wait.
+// slot thought free. It returns false if the task should wait; the reason is then
+// ReasonHeldBack if another task might use the slots that are free.
 func (x *Index) Choose(now time.Time, r *rand.Rand, q Query) (Choice, bool) {
 	x.advance(now)
 	p := x.pools[poolKey{q.Firm, q.Service}]
@@ -74,8 +78,8 @@
 	if s.best == nil {
 		return Choice{}, false
 	}
-	if x.Policy.HoldBack && x.worthWaiting(now, r, c, &s) {
-		return Choice{}, false
+	if x.Policy.HoldBack && q.Waiting > 0 && x.worthWaiting(now, r, c, &s) {
+		return Choice{Reason: ReasonHeldBack, Considered: s.considered}, false
 	}
 	return s.choice(), true
 }
--- a/internal/dispatch/placer/holdback.go
+++ b/internal/dispatch/placer/holdback.go
@@ -1,7 +1,6 @@
 package placer
 
 import (
-	"math"
 	"math/rand/v2"
 	"time"
 )
@@ -9,11 +8,11 @@
 // worthWaiting reports whether the next slot of a faster endpoint is expected to
 // finish the task earlier than the best free slot.
 func (x *Index) worthWaiting(now time.Time, r *rand.Rand, c *class, s *selection) bool {
-	typical := math.Exp(s.best.pool.mean)
-	size := math.Exp(s.best.pool.expected(s.query.Declared))
+	typical := s.best.pool.overall.plain
+	size := s.best.pool.expected(s.query.Declared).plain
 	var rate, weighted float64
 	c.busySample(r, func(m *member, scale float64) {
-		if m.free || !m.open || m.outstanding == 0 || m.factor*x.Policy.Margin >= s.best.factor {
+		if m.free || !m.open || m.outstanding == 0 || m.factor >= s.best.factor {
 			return
 		}
 		v := scale * m.returnRate(now, typical)
@@ -23,9 +22,9 @@
 	if rate == 0 {
 		return false
 	}
-	wait := float64(1+s.query.Waiting) / rate
-	faster := wait + size*weighted/rate
-	return faster*x.Policy.Margin < size*s.best.factor
+	wait := float64(s.query.Waiting) / rate
+	gain := size * (s.best.factor - weighted/rate)
+	return wait*x.Policy.Margin < gain
 }
 
 // busySample visits all members of a small class, else a random sample, each
--- a/internal/dispatch/placer/model_test.go
+++ b/internal/dispatch/placer/model_test.go
@@ -133,7 +133,7 @@
 			},
 			"wait": func(t *rapid.T) { now = now.Add(time.Duration(millis.Draw(t, "ms")) * time.Millisecond) },
 			"choose": func(t *rapid.T) {
-				q := Query{Firm: "f", Service: "s", Labels: labels.Draw(t, "labels"), Avoid: name(t), Urgent: rapid.Bool().Draw(t, "urgent")}
+				q := Query{Firm: "f", Service: "s", Labels: labels.Draw(t, "labels"), Avoid: name(t), Urgent: rapid.Bool().Draw(t, "urgent"), Waiting: rapid.IntRange(0, 3).Draw(t, "waiting")}
 				choice, ok := x.Choose(now, r, q)
 				if again, _ := twin.Choose(now, twinRand, q); again != choice {
 					t.Fatalf("%+v and %+v with the same seed", choice, again)
--- a/internal/dispatch/placer/speed.go
+++ b/internal/dispatch/placer/speed.go
@@ -8,16 +8,21 @@
 const (
 	// speedGain weighs a new run time against the past ones of the endpoint.
 	// Run times of one service differ 20:1, so a larger gain mostly follows noise.
-	speedGain = 0.04
-	// workGain is the same for the mean over all endpoints of the service.
+	speedGain = 0.02
+	// workGain is the same for the expectations of the service.
 	workGain = 0.005
 	// maxSurprise bounds the influence of one run time: declared times are wrong
 	// by up to 5 times.
 	maxSurprise = 1.61 // ln 5
-	// declaredMinimum is the number of samples before declared times are trusted.
-	declaredMinimum = 30
 	// firstWork is assumed before the first task has finished.
 	firstWork = 200 * time.Millisecond
+	// priorSamples is the weight of the service's mean in the expectation for a
+	// range of declared times.
+	priorSamples = 20
+
+	// Declared times are grouped into ranges of a factor of two, from 2 ms up.
+	firstRange = 2 * time.Millisecond
+	ranges     = 16
 )
 
 // speed is the observed slowness of an endpoint: the logarithm of its run times
@@ -27,55 +32,67 @@
 	samples  int
 }
 
-// work describes the logarithm of the run times of a service, after division by
-// the slowness of the endpoints, and how far declared times predict them.
+// estimate is a moving average of run times in seconds, after division by the
+// slowness of the endpoint. The mean of the logarithms is the reference for
+// speeds; the plain mean, in which rare long tasks count fully, is the expectation.
+type estimate struct {
+	samples, log, plain float64
+}
+
+// work describes the run times of a service, overall and per range of declared
+// times. What a declared time is worth is thus learnt, and not assumed.
 type work struct {
-	mean, samples float64
-	// Moments of the tasks that declared a time.
-	declaredMean, declaredVariance float64
-	covariance, declaredSamples    float64
+	overall  estimate
+	declared [ranges]estimate
+}
+
+func rangeOf(declared time.Duration) int {
+	at := math.Ilogb(float64(declared) / float64(firstRange))
+	return min(max(at, 0), ranges-1)
 }
 
-// expected returns the logarithm of the seconds that a task is expected to run
-// on an endpoint of mean speed. A declared time counts as far as declared times
-// have predicted run times so far.
-func (w *work) expected(declared time.Duration) float64 {
-	if w.samples == 0 {
+// expected returns what a task is expected to run on an endpoint of mean speed.
+func (w *work) expected(declared time.Duration) estimate {
+	if w.overall.samples == 0 {
+		first := firstWork.Seconds()
 		if declared > 0 {
-			return math.Log(declared.Seconds())
+			first = declared.Seconds()
 		}
-		return math.Log(firstWork.Seconds())
+		return estimate{log: math.Log(first), plain: first}
 	}
-	if declared <= 0 || w.declaredSamples < declaredMinimum || w.declaredVariance <= 0 {
-		return w.mean
+	if declared <= 0 {
+		return w.overall
 	}
-	trust := min(max(w.covariance/w.declaredVariance, 0), 1)
-	return w.mean + trust*(math.Log(declared.Seconds())-w.declaredMean)
+	e := w.declared[rangeOf(declared)]
+	trust := e.samples / (e.samples + priorSamples)
+	e.log = w.overall.log + trust*(e.log-w.overall.log)
+	e.plain = w.overall.plain + trust*(e.plain-w.overall.plain)
+	return e
 }
 
 func (p *pool) learn(m *member, run, declared time.Duration) {
 	if run <= 0 {
 		return
 	}
-	seconds := math.Log(run.Seconds())
-	surprise := seconds - p.expected(declared) - m.slowness
-	p.observe(seconds-m.slowness, declared)
+	log := math.Log(run.Seconds())
+	surprise := log - p.expected(declared).log - m.slowness
+	p.observe(log-m.slowness, run.Seconds()/m.factor, declared)
 	m.samples++
 	gain := max(1/float64(m.samples+1), speedGain)
 	m.slowness += gain * min(max(surprise, -maxSurprise), maxSurprise)
 	m.factor = math.Exp(m.slowness)
 }
 
-func (w *work) observe(size float64, declared time.Duration) {
-	w.samples++
-	w.mean += max(1/w.samples, workGain) * (size - w.mean)
-	if declared <= 0 {
-		return
+func (w *work) observe(log, plain float64, declared time.Duration) {
+	w.overall.add(log, plain)
+	if declared > 0 {
+		w.declared[rangeOf(declared)].add(log, plain)
 	}
-	w.declaredSamples++
-	gain := max(1/w.declaredSamples, workGain)
-	offset := math.Log(declared.Seconds()) - w.declaredMean
-	w.declaredMean += gain * offset
-	w.declaredVariance += gain * (offset*offset - w.declaredVariance)
-	w.covariance += gain * (offset*(size-w.mean) - w.covariance)
+}
+
+func (e *estimate) add(log, plain float64) {
+	e.samples++
+	gain := max(1/e.samples, workGain)
+	e.log += gain * (log - e.log)
+	e.plain += gain * (plain - e.plain)
 }
