--- a/internal/dispatch/limiter/queue_test.go
+++ b/internal/dispatch/limiter/queue_test.go
@@ -90,8 +90,9 @@
 		}
 		return got
 	}
+	push("big", 1)
 	push("small", 500)
-	count(100) // big is idle
+	count(101) // big is idle after its only task
 	push("big", 500)
 	if got := count(400); got["big"] < 299 || got["big"] > 301 {
 		t.Errorf("shares %v, want 300 and 100", got)
--- a/internal/dispatch/limiter/scan_test.go
+++ b/internal/dispatch/limiter/scan_test.go
@@ -51,6 +51,40 @@
 	q.Scan(epoch, func(Item, int) Step { t.Error("visited an empty queue"); return Stop })
 }
 
+// Guards against a team that pays twice, or nothing, for tasks that are held
+// before they are sent.
+func TestScanChargesHeldTasksOnce(t *testing.T) {
+	q := NewQueue("f", NewTeams())
+	for i := range 200 {
+		q.Push(epoch, item(fmt.Sprint("t", i), "t", normal, 0, uint64(i)))
+		q.Push(epoch, item(fmt.Sprint("u", i), "u", normal, 0, uint64(i)))
+	}
+	taken := map[string]int{}
+	held := map[Item]bool{}
+	for taken["t"]+taken["u"] < 200 {
+		slots := 10
+		q.Scan(epoch, func(i Item, _ int) Step {
+			if i.Team == "t" && !held[i] {
+				held[i] = true
+				return Hold
+			}
+			if slots == 0 {
+				return Stop
+			}
+			slots--
+			taken[i.Team]++
+			return Take
+		})
+		if popped, ok := q.Pop(epoch, nil); ok {
+			taken[popped.Team]++
+		}
+	}
+	// The tasks that one scan holds are the difference at most.
+	if difference := taken["t"] - taken["u"]; difference < -maxTries || difference > maxTries {
+		t.Errorf("taken %v of teams with equal shares", taken)
+	}
+}
+
 // Guards against held tasks of a team at its limit that keep other teams from
 // the fast endpoint they wait for.
 func TestScanPassesOverHeldTasksOfTeamAtLimit(t *testing.T) {
