--- a/internal/platform/storer/table.go
+++ b/internal/platform/storer/table.go
@@ -13,7 +13,8 @@
 type Row struct {
 	Key   string `json:"key"`
 	Value []byte `json:"value"`
-	// Revision grows with each write of the row; the first is 1.
+	// Revision grows with each write of the row; the first is 1. It goes on growing
+	// when a removed row is created again, so an old expectation never matches.
 	Revision uint64 `json:"revision"`
 	// Token is the token of the write that produced this revision.
 	Token string `json:"token"`
@@ -28,11 +29,14 @@
 	// Token is unique per write. A retry carries the same token, so that a writer
 	// whose reply was lost recognises its own row.
 	Token string `json:"token"`
+	// Delete removes the row instead of writing it.
+	Delete bool `json:"delete,omitempty"`
 }
 
 // PutResult says whether a Put is in force, and which row is.
 type PutResult struct {
-	// Applied is true if the row in force carries the Put's token.
+	// Applied is true if the row in force carries the Put's token, or if the row
+	// of a Delete is absent.
 	Applied bool `json:"applied"`
 	Row     Row  `json:"row"`
 }
--- /dev/null
+++ b/internal/standin/tablekeeper/handler.go
@@ -0,0 +1,96 @@
+package tablekeeper
+
+import (
+	"encoding/json"
+	"errors"
+	"net/http"
+
+	"github.com/burdockrudder/burdockrudder/internal/platform/storer"
+)
+
+// PathFaults switches the faults with a PUT of Faults.
+const PathFaults = "/v1/faults"
+
+var errReplyLost = errors.New("reply lost after the write took effect")
+
+// Handler serves the protocol of docs/platform.md and the switch of the faults.
+func (k *Keeper) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST "+storer.PathRead, k.serveRead)
+	mux.HandleFunc("POST "+storer.PathScan, k.serveScan)
+	mux.HandleFunc("POST "+storer.PathWrite, k.serveWrite)
+	mux.HandleFunc("PUT "+PathFaults, k.serveFaults)
+	return mux
+}
+
+func (k *Keeper) serveRead(w http.ResponseWriter, r *http.Request) {
+	var request storer.ReadRequest
+	if !decode(w, r, &request) {
+		return
+	}
+	rows, err := k.Read(r.Context(), request.Keys)
+	respond(w, storer.RowsReply{Rows: rows}, err)
+}
+
+func (k *Keeper) serveScan(w http.ResponseWriter, r *http.Request) {
+	var request storer.ScanRequest
+	if !decode(w, r, &request) {
+		return
+	}
+	rows, err := k.Scan(r.Context(), request.Prefix)
+	respond(w, storer.RowsReply{Rows: rows}, err)
+}
+
+func (k *Keeper) serveWrite(w http.ResponseWriter, r *http.Request) {
+	var request storer.WriteRequest
+	if !decode(w, r, &request) {
+		return
+	}
+	results, err := k.Write(r.Context(), request.Puts, request.Atomic)
+	respond(w, storer.WriteReply{Results: results}, err)
+}
+
+func (k *Keeper) serveFaults(w http.ResponseWriter, r *http.Request) {
+	var faults Faults
+	if !decode(w, r, &faults) {
+		return
+	}
+	k.SetFaults(faults)
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func decode(w http.ResponseWriter, r *http.Request, request any) bool {
+	body := http.MaxBytesReader(w, r.Body, storer.MaxBodyBytes)
+	err := json.NewDecoder(body).Decode(request)
+	if err == nil {
+		return true
+	}
+	status := http.StatusBadRequest
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		status = http.StatusRequestEntityTooLarge
+	}
+	reply(w, status, storer.ErrorReply{Error: err.Error()})
+	return false
+}
+
+func respond(w http.ResponseWriter, body any, err error) {
+	switch {
+	case err == nil:
+		reply(w, http.StatusOK, body)
+	case errors.Is(err, errReplyLost):
+		// Closes the connection without an answer.
+		panic(http.ErrAbortHandler)
+	case errors.Is(err, storer.ErrUnavailable):
+		reply(w, http.StatusServiceUnavailable, storer.ErrorReply{Error: err.Error()})
+	default:
+		reply(w, http.StatusBadRequest, storer.ErrorReply{Error: err.Error()})
+	}
+}
+
+func reply(w http.ResponseWriter, status int, body any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	// A failed write means that the client is gone, so nobody is left to tell.
+	_ = json.NewEncoder(w).Encode(body)
+}
