--- /dev/null
+++ b/internal/platform/journaler/item.go
@@ -0,0 +1,70 @@
+package journaler
+
+import (
+	"fmt"
+	"net/url"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/burdockrudder/burdockrudder/internal/dispatch/coordinator"
+	"github.com/burdockrudder/burdockrudder/internal/dispatch/messenger"
+	"github.com/burdockrudder/burdockrudder/internal/platform/storer"
+)
+
+type itemKind int
+
+const (
+	intentItem itemKind = iota
+	outcomeItem
+	lookupItem
+)
+
+// item is one queued row or read.
+type item struct {
+	kind  itemKind
+	key   messenger.SubmissionKey
+	path  string
+	body  any
+	token string
+	// row is another writer's intent row, whose outcome is looked up.
+	row       *coordinator.IntentRow
+	deadline  time.Time
+	notBefore time.Time
+	tries     int
+	// alone is set after a transaction was refused, so that one bad row cannot
+	// hold up the others.
+	alone bool
+	// done is guarded by the journal's lock.
+	done bool
+}
+
+// IntentKey returns the table key of a submission's intent row.
+func IntentKey(key messenger.SubmissionKey) string {
+	return tableKey("intent", key)
+}
+
+// OutcomeKey returns the table key of a submission's outcome row.
+func OutcomeKey(key messenger.SubmissionKey) string {
+	return tableKey("outcome", key)
+}
+
+func tableKey(table string, key messenger.SubmissionKey) string {
+	return table + "/" + url.PathEscape(key.Firm) + "/" + url.PathEscape(key.Service) + "/" + url.PathEscape(key.ID)
+}
+
+func (it *item) put() (storer.Put, error) {
+	value, err := cbor.Marshal(it.body)
+	if err != nil {
+		return storer.Put{}, fmt.Errorf("encode %s: %w", it.path, err)
+	}
+	return storer.Put{Key: it.path, Value: value, Token: it.token}, nil
+}
+
+func decodeRow[T any](row storer.Row) (*T, error) {
+	value := new(T)
+	if err := cbor.Unmarshal(row.Value, value); err != nil {
+		return nil, fmt.Errorf("decode %s: %w", row.Key, err)
+	}
+	return value, nil
+}
--- /dev/null
+++ b/internal/platform/journaler/journal_test.go
@@ -0,0 +1,181 @@
+package journaler
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/burdockrudder/burdockrudder/internal/dispatch/coordinator"
+	"github.com/burdockrudder/burdockrudder/internal/dispatch/messenger"
+	"github.com/burdockrudder/burdockrudder/internal/standin/tablekeeper"
+)
+
+type sink struct {
+	mu       sync.Mutex
+	intents  []coordinator.IntentSettled
+	outcomes []coordinator.OutcomeSettled
+}
+
+func (s *sink) emit(event coordinator.Event) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch e := event.(type) {
+	case coordinator.IntentSettled:
+		s.intents = append(s.intents, e)
+	case coordinator.OutcomeSettled:
+		s.outcomes = append(s.outcomes, e)
+	}
+}
+
+func (s *sink) settled() []coordinator.IntentSettled {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.intents
+}
+
+func (s *sink) recorded() []coordinator.OutcomeSettled {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.outcomes
+}
+
+func start(t *testing.T, keeper *tablekeeper.Keeper, writer messenger.Incarnation) (*Journal, *sink) {
+	t.Helper()
+	events := &sink{}
+	journal := &Journal{Table: keeper, Writer: writer, WritesPerSecond: 300, Seed: 7, Emit: events.emit}
+	ctx, cancel := context.WithCancel(t.Context())
+	var group errgroup.Group
+	group.Go(func() error { return journal.Run(ctx) })
+	t.Cleanup(func() {
+		cancel()
+		if err := group.Wait(); err != nil {
+			t.Error(err)
+		}
+	})
+	return journal, events
+}
+
+func newKeeper() *tablekeeper.Keeper {
+	return &tablekeeper.Keeper{WriteLatency: 4 * time.Millisecond, ReadLatency: time.Millisecond, Seed: 7}
+}
+
+func keyOf(i int) messenger.SubmissionKey {
+	return messenger.SubmissionKey{Firm: "lamis", Service: "dispatch", ID: fmt.Sprint(i)}
+}
+
+func intent(i int, owner messenger.Incarnation) coordinator.CommitIntent {
+	return coordinator.CommitIntent{Row: coordinator.IntentRow{Key: keyOf(i), Owner: owner}}
+}
+
+func outcome(i int, reason string) coordinator.CommitOutcome {
+	return coordinator.CommitOutcome{Outcome: messenger.Outcome{Key: keyOf(i), Status: messenger.OutcomeFailed, Reason: reason}}
+}
+
+// Guards against one transaction per row, which exceeds the write budget.
+func TestRowsShareTransactions(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		keeper := newKeeper()
+		journal, events := start(t, keeper, "e1~1")
+		for i := range 100 {
+			journal.CommitIntent(intent(i, "e1~1"))
+		}
+		time.Sleep(time.Second)
+		// Two may start while the rows arrive; all others wait for the third.
+		if len(events.settled()) != 100 || keeper.Transactions() > writers+1 {
+			t.Errorf("%d settled in %d transactions", len(events.settled()), keeper.Transactions())
+		}
+	})
+}
+
+// Guards against an own intent that is taken for another's after a lost reply.
+func TestLostReplyKeepsOwnership(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		keeper := newKeeper()
+		journal, events := start(t, keeper, "e1~1")
+		keeper.SetFaults(tablekeeper.Faults{LoseReplies: 1})
+		journal.CommitIntent(intent(1, "e1~1"))
+		time.Sleep(100 * time.Millisecond)
+		keeper.SetFaults(tablekeeper.Faults{})
+		time.Sleep(3 * time.Second)
+		if len(events.settled()) != 1 || events.settled()[0].Failed || events.settled()[0].Row.Owner != "e1~1" {
+			t.Errorf("got %+v", events.settled())
+		}
+	})
+}
+
+// Guards against two owners of one submission, and against a loser that is not
+// told the outcome.
+func TestRacingJournalsHaveOneWinner(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		keeper := newKeeper()
+		first, firstEvents := start(t, keeper, "e1~1")
+		second, secondEvents := start(t, keeper, "e2~1")
+		first.CommitOutcome(outcome(1, "settled"))
+		first.CommitIntent(intent(1, "e1~1"))
+		second.CommitIntent(intent(1, "e2~1"))
+		time.Sleep(time.Second)
+		a, b := firstEvents.settled(), secondEvents.settled()
+		if len(a) != 1 || len(b) != 1 || a[0].Row.Owner != b[0].Row.Owner {
+			t.Fatalf("got %+v and %+v", a, b)
+		}
+		loser := a[0]
+		if loser.Row.Owner == "e1~1" {
+			loser = b[0]
+		}
+		if loser.Outcome == nil || loser.Outcome.Reason != "settled" {
+			t.Errorf("loser was told %+v", loser)
+		}
+	})
+}
+
+// Guards against outcomes that are lost in an outage, and intents that wait for
+// longer than their patience.
+func TestOutageLosesNoOutcome(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		keeper := newKeeper()
+		journal, events := start(t, keeper, "e1~1")
+		keeper.SetFaults(tablekeeper.Faults{Down: true})
+		for i := range 50 {
+			journal.CommitIntent(intent(i, "e1~1"))
+			journal.CommitOutcome(outcome(i, "first"))
+		}
+		time.Sleep(time.Minute)
+		if len(events.settled()) != 50 || !events.settled()[0].Failed {
+			t.Errorf("%d intents settled", len(events.settled()))
+		}
+		failed := len(events.recorded())
+		keeper.SetFaults(tablekeeper.Faults{})
+		time.Sleep(5 * time.Second)
+		settled := map[messenger.SubmissionKey]bool{}
+		for _, e := range events.recorded()[failed:] {
+			settled[e.Key] = !e.Failed
+		}
+		if failed == 0 || len(settled) != 50 {
+			t.Errorf("%d failed tries, %d settled", failed, len(settled))
+		}
+	})
+}
+
+// Guards against a second outcome that replaces the first.
+func TestFirstOutcomeStaysInForce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		keeper := newKeeper()
+		journal, events := start(t, keeper, "e1~1")
+		journal.CommitOutcome(outcome(1, "first"))
+		time.Sleep(time.Second)
+		journal.CommitOutcome(outcome(1, "second"))
+		journal.ReadIntent(coordinator.ReadIntent{Key: keyOf(1)})
+		time.Sleep(time.Second)
+		if len(events.recorded()) != 2 || events.recorded()[1].Outcome.Reason != "first" {
+			t.Errorf("got %+v", events.recorded())
+		}
+		if len(events.settled()) != 1 || events.settled()[0].Row != nil || events.settled()[0].Outcome == nil {
+			t.Errorf("read gave %+v", events.settled())
+		}
+	})
+}
--- /dev/null
+++ b/internal/platform/journaler/retry.go
@@ -0,0 +1,151 @@
+package journaler
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/burdockrudder/burdockrudder/internal/dispatch/coordinator"
+	"github.com/burdockrudder/burdockrudder/internal/dispatch/messenger"
+	"github.com/burdockrudder/burdockrudder/internal/platform/storer"
+)
+
+// retry queues the rows of a failed transaction again, with their tokens.
+func (j *Journal) retry(ctx context.Context, batch []*item, err error) {
+	if ctx.Err() != nil {
+		return
+	}
+	refused := !errors.Is(err, storer.ErrUnavailable)
+	if refused && len(batch) > 1 {
+		j.separate(batch)
+		return
+	}
+	for _, it := range batch {
+		if it.kind == outcomeItem {
+			j.Emit(coordinator.OutcomeSettled{Key: it.key, Failed: true})
+		} else if refused {
+			j.finish(it, coordinator.IntentSettled{Key: it.key, Failed: true})
+		}
+	}
+	j.requeue(batch)
+}
+
+// separate queues rows to be tried one by one, to find the one that is refused.
+func (j *Journal) separate(batch []*item) {
+	j.mu.Lock()
+	for _, it := range batch {
+		it.alone = true
+	}
+	j.mu.Unlock()
+	j.requeue(batch)
+}
+
+func (j *Journal) requeue(batch []*item) {
+	j.mu.Lock()
+	for _, it := range batch {
+		it.tries++
+		it.notBefore = time.Now().Add(j.backoff(it))
+		switch {
+		case it.done:
+		case it.kind == lookupItem:
+			j.lookups = append(j.lookups, it)
+		case it.kind == intentItem:
+			j.intents = append(j.intents, it)
+		default:
+			j.outcomes = append(j.outcomes, it)
+		}
+	}
+	j.mu.Unlock()
+	j.signal()
+}
+
+// backoff runs with the lock held.
+func (j *Journal) backoff(it *item) time.Duration {
+	low, high := minIntentBackoff, maxIntentBackoff
+	if it.kind == outcomeItem {
+		low, high = minOutcomeBackoff, maxOutcomeBackoff
+	}
+	delay := min(high, low<<min(it.tries-1, 10))
+	// The jitter keeps the entries from retrying in step after an outage.
+	return max(low, time.Duration(float64(delay)*(0.5+0.5*j.random.Float64())))
+}
+
+// lookUpOutcome reads the outcome of a submission whose intent is another writer's.
+func (j *Journal) lookUpOutcome(it *item, row *coordinator.IntentRow) {
+	j.mu.Lock()
+	it.kind = lookupItem
+	it.row = row
+	it.notBefore = time.Time{}
+	j.lookups = append(j.lookups, it)
+	j.mu.Unlock()
+	j.signal()
+}
+
+// lookUp reads the rows of all waiting lookups in one call after the other.
+func (j *Journal) lookUp(ctx context.Context) error {
+	for {
+		batch, next := j.takeLookups()
+		if len(batch) == 0 {
+			if err := pause(ctx, next, j.read); err != nil {
+				return err
+			}
+			continue
+		}
+		j.readRows(ctx, batch)
+	}
+}
+
+func (j *Journal) takeLookups() (batch []*item, next time.Time) {
+	now := time.Now()
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	// Each lookup reads up to two rows.
+	batch = take(&j.lookups, nil, storer.MaxKeysPerRead/2, now)
+	for _, it := range j.lookups {
+		if next.IsZero() || it.notBefore.Before(next) {
+			next = it.notBefore
+		}
+	}
+	return batch, next
+}
+
+func (j *Journal) readRows(ctx context.Context, batch []*item) {
+	var keys []string
+	for _, it := range batch {
+		keys = append(keys, OutcomeKey(it.key))
+		if it.row == nil {
+			keys = append(keys, IntentKey(it.key))
+		}
+	}
+	call, cancel := context.WithTimeout(ctx, j.CallTimeout)
+	defer cancel()
+	rows, err := j.Table.Read(call, keys)
+	if err != nil {
+		j.requeue(batch)
+		return
+	}
+	found := make(map[string]storer.Row, len(rows))
+	for _, row := range rows {
+		found[row.Key] = row
+	}
+	for _, it := range batch {
+		j.finish(it, lookedUp(it, found))
+	}
+}
+
+func lookedUp(it *item, found map[string]storer.Row) coordinator.IntentSettled {
+	failed := coordinator.IntentSettled{Key: it.key, Failed: true}
+	settled := coordinator.IntentSettled{Key: it.key, Row: it.row}
+	var err error
+	if row, ok := found[IntentKey(it.key)]; ok && it.row == nil {
+		if settled.Row, err = decodeRow[coordinator.IntentRow](row); err != nil {
+			return failed
+		}
+	}
+	if row, ok := found[OutcomeKey(it.key)]; ok {
+		if settled.Outcome, err = decodeRow[messenger.Outcome](row); err != nil {
+			return failed
+		}
+	}
+	return settled
+}
--- /dev/null
+++ b/internal/platform/journaler/writer.go
@@ -0,0 +1,148 @@
+package journaler
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/burdockrudder/burdockrudder/internal/dispatch/coordinator"
+	"github.com/burdockrudder/burdockrudder/internal/dispatch/messenger"
+	"github.com/burdockrudder/burdockrudder/internal/platform/storer"
+)
+
+// The bounds of the backoff between the tries of one row. Intents retry sooner,
+// because they have only Patience to succeed.
+const (
+	minIntentBackoff  = 25 * time.Millisecond
+	maxIntentBackoff  = 250 * time.Millisecond
+	minOutcomeBackoff = 100 * time.Millisecond
+	maxOutcomeBackoff = time.Second
+)
+
+// write runs one transaction after the other.
+func (j *Journal) write(ctx context.Context, wake <-chan struct{}) error {
+	for {
+		ready, next := j.readyToWrite()
+		if !ready {
+			if err := pause(ctx, next, wake); err != nil {
+				return err
+			}
+			continue
+		}
+		if err := j.budget.Wait(ctx); err != nil {
+			return err
+		}
+		// Rows that arrived during the wait for the budget join the batch.
+		if batch := j.takeWrites(); len(batch) > 0 {
+			j.transact(ctx, batch)
+		}
+	}
+}
+
+// readyToWrite returns whether a row is due, else when the next one is.
+func (j *Journal) readyToWrite() (ready bool, next time.Time) {
+	now := time.Now()
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	for _, queue := range [][]*item{j.intents, j.outcomes} {
+		for _, it := range queue {
+			if !it.notBefore.After(now) {
+				return true, next
+			}
+			if next.IsZero() || it.notBefore.Before(next) {
+				next = it.notBefore
+			}
+		}
+	}
+	return false, next
+}
+
+func (j *Journal) takeWrites() []*item {
+	now := time.Now()
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	batch := take(&j.intents, nil, j.MaxRows, now)
+	return take(&j.outcomes, batch, j.MaxRows, now)
+}
+
+// take moves due items from the queue to the batch and drops those that are done.
+func take(queue *[]*item, batch []*item, limit int, now time.Time) []*item {
+	var kept []*item
+	for _, it := range *queue {
+		closed := len(batch) >= limit || (len(batch) > 0 && (it.alone || batch[0].alone))
+		switch {
+		case it.done:
+		case closed || it.notBefore.After(now):
+			kept = append(kept, it)
+		default:
+			batch = append(batch, it)
+		}
+	}
+	*queue = kept
+	return batch
+}
+
+func (j *Journal) transact(ctx context.Context, batch []*item) {
+	puts := make([]storer.Put, 0, len(batch))
+	for _, it := range batch {
+		put, err := it.put()
+		if err != nil {
+			j.Logger.Error("row cannot be encoded", zap.Error(err))
+		}
+		puts = append(puts, put)
+	}
+	call, cancel := context.WithTimeout(ctx, j.CallTimeout)
+	defer cancel()
+	results, err := j.Table.Write(call, puts, false)
+	j.Metrics.Counter("journal_transactions").Inc(1)
+	if err != nil {
+		j.Logger.Warn("transaction failed", zap.Int("rows", len(batch)), zap.Error(err))
+		j.retry(ctx, batch, err)
+		return
+	}
+	j.Metrics.Counter("journal_rows").Inc(int64(len(batch)))
+	for i, it := range batch {
+		j.settle(it, results[i])
+	}
+}
+
+func (j *Journal) settle(it *item, result storer.PutResult) {
+	if it.kind == outcomeItem {
+		j.settleOutcome(it, result.Row)
+		return
+	}
+	row, err := decodeRow[coordinator.IntentRow](result.Row)
+	switch {
+	case err != nil:
+		j.Logger.Error("intent row cannot be read", zap.Error(err))
+		j.finish(it, coordinator.IntentSettled{Key: it.key, Failed: true})
+	case result.Applied:
+		j.finish(it, coordinator.IntentSettled{Key: it.key, Row: row})
+	default:
+		j.lookUpOutcome(it, row)
+	}
+}
+
+// settleOutcome reports the row in force, ours or another's.
+func (j *Journal) settleOutcome(it *item, row storer.Row) {
+	outcome, err := decodeRow[messenger.Outcome](row)
+	if err != nil {
+		j.Logger.Error("outcome row cannot be read", zap.Error(err))
+		j.Emit(coordinator.OutcomeSettled{Key: it.key, Failed: true})
+		j.requeue([]*item{it})
+		return
+	}
+	j.Emit(coordinator.OutcomeSettled{Key: it.key, Outcome: outcome})
+}
+
+// finish reports an item unless its patience ended first.
+func (j *Journal) finish(it *item, event coordinator.IntentSettled) {
+	j.mu.Lock()
+	late := it.done
+	it.done = true
+	j.mu.Unlock()
+	if !late {
+		j.Emit(event)
+	}
+}
