Add the agent's client to its endpoint and the announcements

A task may only be placed again with proof that it did not start, so the client separates errors before a connection was used from all later ones, and never repeats a POST.

--- /dev/null
+++ b/internal/edge/invoker/announce.go
@@ -0,0 +1,59 @@
+package invoker
+
+import (
+	"encoding/json"
+	"net/http"
+)
+
+// PathAnnounce is the agent's path for announcements.
+const PathAnnounce = "/v1/announce"
+
+const maxAnnouncementBytes = 16 << 10
+
+// Announcement is what an endpoint says about itself every second.
+type Announcement struct {
+	Service string   `json:"service"`
+	Slots   int      `json:"slots"`
+	Labels  []string `json:"labels,omitempty"`
+}
+
+// Announcer serves announcements. Its fields are set before the first request.
+type Announcer struct {
+	Announced func(service string, slots int, labels []string)
+	Departing func()
+}
+
+// Handler serves POST and DELETE on PathAnnounce.
+func (a *Announcer) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST "+PathAnnounce, a.announce)
+	mux.HandleFunc("DELETE "+PathAnnounce, a.depart)
+	return mux
+}
+
+func (a *Announcer) announce(w http.ResponseWriter, r *http.Request) {
+	var announcement Announcement
+	body := http.MaxBytesReader(w, r.Body, maxAnnouncementBytes)
+	if err := json.NewDecoder(body).Decode(&announcement); err != nil {
+		refuse(w, err.Error())
+		return
+	}
+	if announcement.Service == "" || announcement.Slots < 1 {
+		refuse(w, "service and at least one slot are required")
+		return
+	}
+	a.Announced(announcement.Service, announcement.Slots, announcement.Labels)
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (a *Announcer) depart(w http.ResponseWriter, _ *http.Request) {
+	a.Departing()
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func refuse(w http.ResponseWriter, reason string) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(http.StatusBadRequest)
+	// A failed write means that the endpoint is gone, so nobody is left to tell.
+	_ = json.NewEncoder(w).Encode(Failure{Error: reason})
+}
--- /dev/null
+++ b/internal/edge/invoker/invoker.go
@@ -0,0 +1,175 @@
+// Package invoker is the agent's HTTP client to its endpoint, and the handler by
+// which the endpoint announces itself.
+package invoker
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/burdockrudder/burdockrudder/internal/dispatch/messenger"
+)
+
+// PathTasks is the endpoint's path for tasks.
+const PathTasks = "/v1/tasks"
+
+// The headers of an invocation and its answer. Ids are percent-escaped.
+const (
+	HeaderFirm       = "Burdockrudder-Firm"
+	HeaderService    = "Burdockrudder-Service"
+	HeaderSubmission = "Burdockrudder-Submission"
+	HeaderTask       = "Burdockrudder-Task"
+	HeaderAttempt    = "Burdockrudder-Attempt"
+	HeaderNotStarted = "Burdockrudder-Not-Started"
+)
+
+const (
+	// MaxConnections is the limit of connections per endpoint.
+	MaxConnections = 64
+	// MaxPayloadBytes bounds the body of an invocation.
+	MaxPayloadBytes = 256 << 10
+	// MaxResultBytes bounds the body of an answer.
+	MaxResultBytes = 256 << 10
+)
+
+var (
+	// ErrNotStarted means that the endpoint did not start the task.
+	ErrNotStarted = errors.New("task not started")
+	// ErrMayHaveRun means that nobody can say whether the task ran.
+	ErrMayHaveRun = errors.New("task may have run")
+)
+
+// Invocation is one attempt of a task.
+type Invocation struct {
+	Task    messenger.TaskKey
+	Attempt int
+	Payload []byte
+}
+
+// Result is the endpoint's answer to a task that ran.
+type Result struct {
+	Succeeded bool
+	Body      []byte
+	// Reason says why a task failed.
+	Reason string
+}
+
+// Endpoint runs tasks. Invoke returns an error that wraps ErrNotStarted or
+// ErrMayHaveRun if there is no result.
+type Endpoint interface {
+	Invoke(ctx context.Context, invocation Invocation) (Result, error)
+}
+
+// Failure is the JSON body of an answer that reports a failed task.
+type Failure struct {
+	Error string `json:"error"`
+}
+
+// HTTP is an Endpoint over HTTP. Its fields are set before Prepare.
+type HTTP struct {
+	BaseURL string
+	// DialTimeout bounds connecting.
+	DialTimeout time.Duration
+
+	client *http.Client
+}
+
+var _ Endpoint = (*HTTP)(nil)
+
+// Prepare builds the client. It is called once, before Invoke.
+func (h *HTTP) Prepare() {
+	dialer := &net.Dialer{Timeout: h.DialTimeout}
+	transport := &http.Transport{
+		DialContext:         dialer.DialContext,
+		MaxConnsPerHost:     MaxConnections,
+		MaxIdleConnsPerHost: MaxConnections,
+		// A connection that the endpoint closes while a task is being sent leaves
+		// the task in doubt, so idle ones are closed from this side first.
+		IdleConnTimeout:    15 * time.Second,
+		DisableCompression: true,
+	}
+	h.client = &http.Client{
+		Transport: transport,
+		CheckRedirect: func(*http.Request, []*http.Request) error {
+			return http.ErrUseLastResponse
+		},
+	}
+}
+
+// Close closes the idle connections.
+func (h *HTTP) Close() {
+	h.client.CloseIdleConnections()
+}
+
+// Invoke implements Endpoint. It never sends an invocation twice.
+func (h *HTTP) Invoke(ctx context.Context, invocation Invocation) (Result, error) {
+	var connected atomic.Bool
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
+	request, err := h.request(httptrace.WithClientTrace(ctx, trace), invocation)
+	if err != nil {
+		return Result{}, fmt.Errorf("%w: %w", ErrNotStarted, err)
+	}
+	response, err := h.client.Do(request)
+	if err != nil {
+		if !connected.Load() {
+			return Result{}, fmt.Errorf("%w: %w", ErrNotStarted, err)
+		}
+		return Result{}, fmt.Errorf("%w: %w", ErrMayHaveRun, err)
+	}
+	// A failed close after the answer was read changes nothing.
+	defer func() { _ = response.Body.Close() }()
+	return result(response)
+}
+
+func (h *HTTP) request(ctx context.Context, invocation Invocation) (*http.Request, error) {
+	if len(invocation.Payload) > MaxPayloadBytes {
+		return nil, fmt.Errorf("payload has %d bytes, the limit is %d", len(invocation.Payload), MaxPayloadBytes)
+	}
+	// The wrapped reader keeps net/http from setting GetBody, without which it
+	// does not repeat a POST on a new connection.
+	body := struct{ io.Reader }{bytes.NewReader(invocation.Payload)}
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, h.BaseURL+PathTasks, body)
+	if err != nil {
+		return nil, fmt.Errorf("build request: %w", err)
+	}
+	request.ContentLength = int64(len(invocation.Payload))
+	key := invocation.Task.Submission
+	request.Header.Set(HeaderFirm, url.PathEscape(key.Firm))
+	request.Header.Set(HeaderService, url.PathEscape(key.Service))
+	request.Header.Set(HeaderSubmission, url.PathEscape(key.ID))
+	request.Header.Set(HeaderTask, strconv.Itoa(invocation.Task.Index))
+	request.Header.Set(HeaderAttempt, strconv.Itoa(invocation.Attempt))
+	return request, nil
+}
+
+func result(response *http.Response) (Result, error) {
+	status := response.StatusCode
+	if status == http.StatusServiceUnavailable && response.Header.Get(HeaderNotStarted) == "true" {
+		return Result{}, fmt.Errorf("%w: endpoint answered %d", ErrNotStarted, status)
+	}
+	body, err := io.ReadAll(io.LimitReader(response.Body, MaxResultBytes+1))
+	switch {
+	case err != nil:
+		return Result{}, fmt.Errorf("%w: read answer: %w", ErrMayHaveRun, err)
+	case len(body) > MaxResultBytes:
+		return Result{Reason: fmt.Sprintf("result is over %d bytes", MaxResultBytes)}, nil
+	case status == http.StatusOK:
+		return Result{Succeeded: true, Body: body}, nil
+	}
+	var failure Failure
+	reported := status == http.StatusInternalServerError || (status >= 400 && status < 500)
+	if !reported || json.Unmarshal(body, &failure) != nil || failure.Error == "" {
+		return Result{}, fmt.Errorf("%w: endpoint answered %d without a reason", ErrMayHaveRun, status)
+	}
+	return Result{Reason: failure.Error}, nil
+}
