--- /dev/null
+++ b/internal/standin/executor/endpoint.go
@@ -0,0 +1,180 @@
+// Package executor is a stand-in for a firm's endpoint. It runs tasks whose
+// payload states how long they take and whether they fail.
+package executor
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/burdockrudder/burdockrudder/internal/edge/invoker"
+)
+
+// PathCounters returns Counters.
+const PathCounters = "/v1/counters"
+
+// Payload is the JSON payload of a task.
+type Payload struct {
+	RunTimeMS float64 `json:"run_time_ms"`
+	// Fail is the reason of the failure that the task reports.
+	Fail string `json:"fail,omitempty"`
+	// Hang keeps the task running until its caller leaves or the endpoint stops.
+	Hang bool `json:"hang,omitempty"`
+	// Label must be one of the endpoint's labels.
+	Label string `json:"label,omitempty"`
+	// Echo is returned in the result.
+	Echo json.RawMessage `json:"echo,omitempty"`
+}
+
+// Result is the JSON result of a task.
+type Result struct {
+	Echo json.RawMessage `json:"echo,omitempty"`
+}
+
+// Counters count since the start of the endpoint.
+type Counters struct {
+	Starts uint64 `json:"starts"`
+	// DoubleStarts counts the starts of a task that had been started before.
+	DoubleStarts uint64 `json:"double_starts"`
+	Finished     uint64 `json:"finished"`
+	// SlotViolations and ConnectionViolations count what was refused over the limit.
+	SlotViolations       uint64 `json:"slot_violations"`
+	ConnectionViolations uint64 `json:"connection_violations"`
+	Running              int    `json:"running"`
+	MostRunning          int    `json:"most_running"`
+}
+
+// Endpoint is the stand-in. Its fields are set before the first request.
+type Endpoint struct {
+	Service string
+	Slots   int
+	// Connections is the limit of open connections; zero means no limit.
+	Connections int
+	Labels      []string
+	// Speed divides the run times; zero means 1.
+	Speed float64
+	// Agent is the base URL of the agent; empty means no announcements.
+	Agent string
+
+	mu       sync.Mutex
+	draining bool
+	open     map[net.Conn]bool
+	starts   map[string]int
+	counters Counters
+	stopped  chan struct{}
+}
+
+// Handler serves tasks and counters.
+func (e *Endpoint) Handler() http.Handler {
+	e.mu.Lock()
+	if e.starts == nil {
+		e.starts = map[string]int{}
+		e.open = map[net.Conn]bool{}
+		e.stopped = make(chan struct{})
+	}
+	e.mu.Unlock()
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST "+invoker.PathTasks, e.serveTask)
+	mux.HandleFunc("GET "+PathCounters, func(w http.ResponseWriter, _ *http.Request) {
+		reply(w, http.StatusOK, e.Counters())
+	})
+	return mux
+}
+
+// Counters returns the present counters.
+func (e *Endpoint) Counters() Counters {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.counters
+}
+
+func (e *Endpoint) serveTask(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, invoker.MaxPayloadBytes))
+	var payload Payload
+	if err = errors.Join(err, json.Unmarshal(body, &payload)); err != nil {
+		reply(w, http.StatusBadRequest, invoker.Failure{Error: err.Error()})
+		return
+	}
+	if !e.begin(taskOf(r.Header)) {
+		w.Header().Set(invoker.HeaderNotStarted, "true")
+		reply(w, http.StatusServiceUnavailable, invoker.Failure{Error: "no free slot"})
+		return
+	}
+	defer e.end()
+	if payload.Label != "" && !slices.Contains(e.Labels, payload.Label) {
+		reply(w, http.StatusUnprocessableEntity, invoker.Failure{Error: "label is not offered: " + payload.Label})
+		return
+	}
+	if !e.run(r, payload) {
+		panic(http.ErrAbortHandler)
+	}
+	if payload.Fail != "" {
+		reply(w, http.StatusInternalServerError, invoker.Failure{Error: payload.Fail})
+		return
+	}
+	reply(w, http.StatusOK, Result{Echo: payload.Echo})
+}
+
+func taskOf(header http.Header) string {
+	return fmt.Sprintf("%s/%s/%s#%s", header.Get(invoker.HeaderFirm), header.Get(invoker.HeaderService),
+		header.Get(invoker.HeaderSubmission), header.Get(invoker.HeaderTask))
+}
+
+// begin takes a slot and counts the start.
+func (e *Endpoint) begin(task string) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.draining {
+		return false
+	}
+	if e.counters.Running >= e.Slots {
+		e.counters.SlotViolations++
+		return false
+	}
+	e.starts[task]++
+	e.counters.Starts++
+	if e.starts[task] > 1 {
+		e.counters.DoubleStarts++
+	}
+	e.counters.Running++
+	e.counters.MostRunning = max(e.counters.MostRunning, e.counters.Running)
+	return true
+}
+
+func (e *Endpoint) end() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.counters.Running--
+	e.counters.Finished++
+}
+
+// run spends the task's time. It returns false if a hanging task was ended. A
+// task whose caller left keeps its slot until it is done, as real work would.
+func (e *Endpoint) run(r *http.Request, payload Payload) bool {
+	if payload.Hang {
+		select {
+		case <-r.Context().Done():
+		case <-e.stopped:
+		}
+		return false
+	}
+	speed := e.Speed
+	if speed <= 0 {
+		speed = 1
+	}
+	time.Sleep(time.Duration(payload.RunTimeMS / speed * float64(time.Millisecond)))
+	return true
+}
+
+func reply(w http.ResponseWriter, status int, body any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	// A failed write means that the caller is gone, so nobody is left to tell.
+	_ = json.NewEncoder(w).Encode(body)
+}
