--- a/internal/platform/leaser/leaser.go
+++ b/internal/platform/leaser/leaser.go
@@ -23,6 +23,10 @@
 // queueLimit bounds the requests that wait; those beyond it are reported as failed.
 const queueLimit = 64
 
+// tryTimeout bounds one renewal or fence. It is below the entry lease of 3 s, so
+// that a table that does not answer leaves time for another try.
+const tryTimeout = time.Second
+
 // Leaser holds this entry's lease. Its exported fields are set before Prepare.
 type Leaser struct {
 	Table       storer.Table
@@ -93,6 +97,8 @@
 }
 
 func (l *Leaser) renew(ctx context.Context, effect coordinator.RenewLease) {
+	ctx, cancel := context.WithTimeout(ctx, tryTimeout)
+	defer cancel()
 	event, err := l.tryRenew(ctx, effect.Renewal)
 	if err != nil {
 		l.Logger.Warn("lease not renewed", zap.Error(err))
@@ -167,6 +173,8 @@
 }
 
 func (l *Leaser) fence(ctx context.Context, effect coordinator.FenceEntry) {
+	ctx, cancel := context.WithTimeout(ctx, tryTimeout)
+	defer cancel()
 	event, err := l.tryFence(ctx, effect.Row)
 	if err != nil {
 		l.Logger.Warn("entry not fenced", zap.String("owner", string(effect.Row.Incarnation)), zap.Error(err))
--- a/internal/platform/leaser/leaser_test.go
+++ b/internal/platform/leaser/leaser_test.go
@@ -109,3 +109,15 @@
 		}
 	})
 }
+
+// Guards against a silent table that blocks all later renewals.
+func TestSilentTableFailsTheRenewal(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		keeper := &tablekeeper.Keeper{}
+		keeper.SetFaults(tablekeeper.Faults{Slow: time.Hour})
+		l, events := newLeaser(keeper, "e1", "e1~1")
+		if got := renew(t, l, events, 1); !got.Failed {
+			t.Errorf("got %+v", got)
+		}
+	})
+}
