Refuse an attempt that another owner names after its tombstone

The gate compared a start with a tombstone by attempt and owner, and treated the same attempt under another owner as a new one, so it started. The design refuses every attempt that is not above the last tombstoned one.

Before: the start was invoked. After: it is refused with proof.

--- a/internal/dispatch/gatekeeper/starts.go
+++ b/internal/dispatch/gatekeeper/starts.go
@@ -57,6 +57,10 @@
 	case m.Attempt == r.attempt && m.Owner == r.owner:
 		s.repeatAnswer(from, r)
 		return true
+	case r.state == messenger.RecordTombstoned && m.Attempt == r.attempt:
+		// Another owner names an attempt that was told never to start.
+		s.refuse(from, m, messenger.RefusedTombstone, true)
+		return true
 	case r.state == messenger.RecordTombstoned:
 		return false
 	case r.repeatable && r.state == messenger.RecordFinished:
