Take an agent's load after the answered task has ended

A refusal or result carries the agent's load without the answered task. The entry compared it with its outstanding tasks before it had ended that task, so it counted one task of another entry too few.

Before: an agent that refused with queue_full got the same task again at once, once per round trip. After: the task waits or goes elsewhere. An untold load was ruled out: the refusal carries it. requeue_with_proof.txtar covers it.

--- a/internal/dispatch/coordinator/members.go
+++ b/internal/dispatch/coordinator/members.go
@@ -204,7 +204,9 @@
 	s.index.Unblock(s.now, a.name, reason)
 }
 
-// toldLoad takes the load that is piggybacked on answers.
+// toldLoad takes the load that is piggybacked on answers. It no longer includes
+// the answered task, so the caller first ends that task's copy: the index counts
+// the told load beyond this entry's own tasks as that of other entries.
 func (s *State) toldLoad(from messenger.Incarnation, load messenger.EndpointLoad) {
 	a := s.agentOf[from]
 	if a == nil {
--- a/internal/dispatch/coordinator/results.go
+++ b/internal/dispatch/coordinator/results.go
@@ -8,9 +8,9 @@
 // finished takes the result of an attempt. Late results of settled or unknown
 // tasks change nothing, but free the slot and serve takeovers.
 func (s *State) finished(from messenger.Incarnation, m messenger.Finished) {
-	s.toldLoad(from, m.Load)
 	t := s.findTask(m.Task)
 	if t == nil {
+		s.toldLoad(from, m.Load)
 		s.collectFinished(from, m)
 		return
 	}
@@ -22,10 +22,9 @@
 		verdict = placer.Lost
 	case messenger.TaskSucceeded:
 	}
-	if !s.takeCopy(t, m.Attempt, from, placer.Returned{RunTime: m.RunTime, Verdict: verdict}) {
-		return
-	}
-	if t.phase == taskDone {
+	taken := s.takeCopy(t, m.Attempt, from, placer.Returned{RunTime: m.RunTime, Verdict: verdict})
+	s.toldLoad(from, m.Load)
+	if !taken || t.phase == taskDone {
 		return
 	}
 	if m.Outcome.State == messenger.TaskSucceeded || !s.retry(t) {
@@ -55,10 +54,10 @@
 // refused takes an agent's refusal. With proof, the task is placed again.
 func (s *State) refused(from messenger.Incarnation, m messenger.Refused) {
 	s.counters.RefusedStarts++
-	s.toldLoad(from, m.Load)
 	s.holdBack(from, m.Reason)
 	t := s.findTask(m.Task)
 	if t == nil {
+		s.toldLoad(from, m.Load)
 		s.collectRefused(from, m)
 		return
 	}
@@ -66,7 +65,9 @@
 	if !m.NeverStarted {
 		verdict = placer.Lost
 	}
-	if !s.takeCopy(t, m.Attempt, from, placer.Returned{Verdict: verdict}) || t.phase == taskDone {
+	taken := s.takeCopy(t, m.Attempt, from, placer.Returned{Verdict: verdict})
+	s.toldLoad(from, m.Load)
+	if !taken || t.phase == taskDone {
 		return
 	}
 	if !m.NeverStarted {
