Keep an admission when an earlier read of its id found no row

A query reads the rows of an id. If a submission of that id arrived before the answer, the entry took the empty answer for that of its own create and refused the submission with outcome_unknown, with a healthy store. A create-if-absent always returns a row, so an answer without one can only be that of a read.

Before: the caller was refused and had to resubmit. After: the admission waits for its create. Nothing ever started wrongly. read_during_admission.txtar covers it.

--- a/internal/dispatch/coordinator/intent.go
+++ b/internal/dispatch/coordinator/intent.go
@@ -34,7 +34,8 @@
 			s.replyOutcome(w, *e.Outcome, j.submission.Digest)
 		}
 	case e.Row == nil:
-		s.dropAdmission(j, messenger.CodeOutcomeUnknown, "the store returned no row")
+		// The answer to an earlier read of the same id. The create that is on its
+		// way always returns a row.
 	case e.Row.Digest != j.submission.Digest:
 		s.dropAdmission(j, messenger.CodeConflict, "the id is in use for another body")
 	case e.Row.Owner == s.Config.Incarnation:
