Pass on a cancel when the admission turns out to be another entry's

A cancel during the admission was counted and kept for the job that was about to start. When the row named another owner, the job was dropped here and the owner never heard of the cancel.

Before: the caller was told of one cancelled submission, which ran on. After: the owner is asked to cancel. cancel_foreign_admission.txtar covers it.

--- a/internal/dispatch/coordinator/cancel.go
+++ b/internal/dispatch/coordinator/cancel.go
@@ -88,6 +88,20 @@
 	})
 }
 
+// passCancel passes a cancel that was answered during the admission to the owner
+// that the row names. If the owner is gone, the takeover ends the submission.
+func (s *State) passCancel(row IntentRow) {
+	if !s.reachable(row.Owner) {
+		return
+	}
+	call := &cancelCall{answered: true, startedAt: s.now}
+	s.send(row.Owner, messenger.Forward{
+		Call:       s.newCall(forwardCall{key: row.Key, cancel: call}),
+		Submission: messenger.Submission{Key: row.Key},
+		Cancel:     true,
+	})
+}
+
 func (s *State) cancelAnswered(call *cancelCall, cancelled int) {
 	call.pending--
 	call.cancelled += cancelled
--- a/internal/dispatch/coordinator/intent.go
+++ b/internal/dispatch/coordinator/intent.go
@@ -43,6 +43,9 @@
 	default:
 		s.removeJob(j)
 		s.addRemote(*e.Row, &j.submission, j.waiters)
+		if j.stopReason != "" {
+			s.passCancel(*e.Row)
+		}
 	}
 }
 
