--- a/internal/dispatch/coordinator/script_verbs_test.go
+++ b/internal/dispatch/coordinator/script_verbs_test.go
@@ -28,6 +28,8 @@
 		d.link(step.Word(0), step.Text("domain", "sousse"), step.Int(d.t, "slots", 1))
 	case "relink":
 		d.relink(step.Word(0))
+	case "renewed":
+		d.answerRenewal(step)
 	case "intent":
 		d.handle(d.intent(step))
 	case "outcome":
@@ -43,6 +45,17 @@
 	}
 }
 
+// answerRenewal answers the last renewal, or with "old" the one before it.
+func (d *desk) answerRenewal(step scripter.Step) {
+	renewal := d.state.renewal
+	if step.Has("old") {
+		renewal--
+	}
+	d.handle(LeaseRenewed{
+		Renewal: renewal, Fenced: step.Has("fenced"), Failed: step.Has("failed"), Directory: d.directory(),
+	})
+}
+
 // applyCall plays a caller. Its first word names the call.
 func (d *desk) applyCall(step scripter.Step) bool {
 	number, err := strconv.Atoi(strings.TrimPrefix(step.Word(0), "c"))
