Never say not_run of a repeatable task whose earlier attempt ran

When a job was cancelled or its deadline passed while a retry waited or was tombstoned, the task became not_run, although an earlier attempt had failed at an endpoint or was in doubt. The task now keeps how its last attempt ended that ran or may have run, and that is its outcome.

Before: not_run. After: failed or may_have_run. not_run_after_retry.txtar covers it.

--- a/internal/dispatch/coordinator/cancel.go
+++ b/internal/dispatch/coordinator/cancel.go
@@ -181,7 +181,7 @@
 			return
 		}
 		if len(t.copies) == 0 {
-			s.finishTask(t, messenger.TaskOutcome{State: messenger.TaskNotRun, Reason: t.job.stopReason})
+			s.finishTask(t, t.unstarted(t.job.stopReason))
 		}
 	case messenger.RecordRunning:
 		if !s.now.Before(t.job.deadlineAt) {
