--- a/internal/dispatch/coordinator/members.go
+++ b/internal/dispatch/coordinator/members.go
@@ -103,6 +103,7 @@
 		t := a.sent[key]
 		s.send(a.incarnation, s.startMessage(t, key.attempt, a))
 	}
+	s.askWitnessAgain(a)
 	for _, t := range s.sortedTakeovers() {
 		if t.awaiting[a.incarnation] {
 			s.send(a.incarnation, messenger.Fence{Owner: t.owner})
@@ -125,9 +126,7 @@
 	delete(s.agents, a.name)
 	delete(s.agentOf, a.incarnation)
 	s.sorted = slices.DeleteFunc(s.sorted, func(x *agent) bool { return x == a })
-	for _, j := range s.settling {
-		j.witnesses = slices.DeleteFunc(j.witnesses, func(x messenger.Incarnation) bool { return x == a.incarnation })
-	}
+	s.witnessLost(a.incarnation)
 	for _, t := range s.sortedTakeovers() {
 		s.agentLost(t, a.incarnation)
 	}
@@ -204,7 +203,9 @@
 	s.index.Unblock(s.now, a.name, reason)
 }
 
-// toldLoad takes the load that is piggybacked on answers.
+// toldLoad takes the load that is piggybacked on answers. It no longer includes
+// the answered task, so the caller first ends that task's copy: the index counts
+// the told load beyond this entry's own tasks as that of other entries.
 func (s *State) toldLoad(from messenger.Incarnation, load messenger.EndpointLoad) {
 	a := s.agentOf[from]
 	if a == nil {
--- a/internal/dispatch/coordinator/results.go
+++ b/internal/dispatch/coordinator/results.go
@@ -8,9 +8,9 @@
 // finished takes the result of an attempt. Late results of settled or unknown
 // tasks change nothing, but free the slot and serve takeovers.
 func (s *State) finished(from messenger.Incarnation, m messenger.Finished) {
-	s.toldLoad(from, m.Load)
 	t := s.findTask(m.Task)
 	if t == nil {
+		s.toldLoad(from, m.Load)
 		s.collectFinished(from, m)
 		return
 	}
@@ -22,20 +22,22 @@
 		verdict = placer.Lost
 	case messenger.TaskSucceeded:
 	}
-	if !s.takeCopy(t, m.Attempt, from, placer.Returned{RunTime: m.RunTime, Verdict: verdict}) {
-		return
-	}
-	if t.phase == taskDone {
+	taken := s.takeCopy(t, m.Attempt, from, placer.Returned{RunTime: m.RunTime, Verdict: verdict})
+	s.toldLoad(from, m.Load)
+	if !taken || t.phase == taskDone {
 		return
 	}
-	if m.Outcome.State == messenger.TaskSucceeded || !s.retry(t) {
+	if m.Outcome.State == messenger.TaskSucceeded || !s.retry(t, m.Outcome) {
 		s.finishTask(t, m.Outcome)
 	}
 }
 
 // retry places a repeatable task again after a failed attempt. It returns true
 // if the task is not to be finished now.
-func (s *State) retry(t *task) bool {
+func (s *State) retry(t *task, failed messenger.TaskOutcome) bool {
+	if failed.State != messenger.TaskNotRun {
+		t.earlier = failed
+	}
 	if !t.job.submission.Repeatable || t.job.stopReason != "" {
 		return false
 	}
@@ -55,10 +57,10 @@
 // refused takes an agent's refusal. With proof, the task is placed again.
 func (s *State) refused(from messenger.Incarnation, m messenger.Refused) {
 	s.counters.RefusedStarts++
-	s.toldLoad(from, m.Load)
 	s.holdBack(from, m.Reason)
 	t := s.findTask(m.Task)
 	if t == nil {
+		s.toldLoad(from, m.Load)
 		s.collectRefused(from, m)
 		return
 	}
@@ -66,7 +68,9 @@
 	if !m.NeverStarted {
 		verdict = placer.Lost
 	}
-	if !s.takeCopy(t, m.Attempt, from, placer.Returned{Verdict: verdict}) || t.phase == taskDone {
+	taken := s.takeCopy(t, m.Attempt, from, placer.Returned{Verdict: verdict})
+	s.toldLoad(from, m.Load)
+	if !taken || t.phase == taskDone {
 		return
 	}
 	if !m.NeverStarted {
@@ -77,7 +81,7 @@
 		return
 	}
 	if t.job.stopReason != "" {
-		s.finishTask(t, messenger.TaskOutcome{State: messenger.TaskNotRun, Reason: t.job.stopReason})
+		s.finishTask(t, t.unstarted(t.job.stopReason))
 		return
 	}
 	t.attempt++
@@ -103,13 +107,14 @@
 
 // inDoubt ends a task that nobody can prove not to have started.
 func (s *State) inDoubt(t *task, reason string) {
-	if s.retry(t) {
+	outcome := messenger.TaskOutcome{State: messenger.TaskMayHaveRun, Reason: reason}
+	if s.retry(t, outcome) {
 		return
 	}
 	s.emit(Decision{
 		Kind: DecisionGiveUp, Submission: t.job.submission.Key, Task: t.index, Attempt: t.attempt, Reason: reason,
 	})
-	s.finishTask(t, messenger.TaskOutcome{State: messenger.TaskMayHaveRun, Reason: reason})
+	s.finishTask(t, outcome)
 }
 
 // finishTask gives a task its final state. The first failure stops the job: it
@@ -139,7 +144,7 @@
 	for i := range j.tasks {
 		t := &j.tasks[i]
 		if t.phase == taskWaiting {
-			s.finishTask(t, messenger.TaskOutcome{State: messenger.TaskNotRun, Reason: reason})
+			s.finishTask(t, t.unstarted(reason))
 		}
 	}
 }
--- a/internal/dispatch/gatekeeper/starts.go
+++ b/internal/dispatch/gatekeeper/starts.go
@@ -57,6 +57,10 @@
 	case m.Attempt == r.attempt && m.Owner == r.owner:
 		s.repeatAnswer(from, r)
 		return true
+	case r.state == messenger.RecordTombstoned && m.Attempt == r.attempt:
+		// Another owner names an attempt that was told never to start.
+		s.refuse(from, m, messenger.RefusedTombstone, true)
+		return true
 	case r.state == messenger.RecordTombstoned:
 		return false
 	case r.repeatable && r.state == messenger.RecordFinished:
@@ -116,6 +120,7 @@
 func (s *State) refuseForGood(to messenger.Incarnation, m messenger.Start, reason messenger.RefusalReason) {
 	r := s.newRecord(m)
 	r.state = messenger.RecordTombstoned
+	r.stoppedByFence = s.fenced[r.owner] != nil && !r.repeatable
 	r.payload = nil
 	s.refuse(to, m, reason, true)
 }
@@ -191,6 +196,7 @@
 
 func (s *State) returnRecord(r *record, reason messenger.RefusalReason) {
 	r.state = messenger.RecordTombstoned
+	r.stoppedByFence = s.fenced[r.owner] != nil && !r.repeatable
 	r.payload = nil
 	s.emit(Decision{Task: r.task, Attempt: r.attempt, Owner: r.owner, Reason: reason})
 	for _, to := range s.listeners(r) {
