Assemble the entry and agent daemons

Services find each other by name in the kernel and stop in reverse order. The coordinator scans its queue, so that tasks held for a fast endpoint let others pass; lease answers carry the number of their renewal, so that an answer sent before a stall proves nothing.

--- /dev/null
+++ b/internal/daemon/launcher/announce_server.go
@@ -0,0 +1,65 @@
+package launcher
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/burdockrudder/burdockrudder/internal/dispatch/gatekeeper"
+	"github.com/burdockrudder/burdockrudder/internal/edge/invoker"
+)
+
+// announceTimeout bounds a request of the endpoint and the stop of the server.
+const announceTimeout = 2 * time.Second
+
+// announceServer takes the endpoint's announcements.
+type announceServer struct {
+	address  string
+	listener net.Listener
+	control  *agentControl
+}
+
+// Run serves until ctx ends.
+func (s *announceServer) Run(ctx context.Context) error {
+	announcer := &invoker.Announcer{
+		Announced: func(service string, slots int, labels []string) {
+			s.control.loop.post(gatekeeper.EndpointAnnounced{Service: service, Slots: slots, Labels: labels})
+		},
+		Departing: func() { s.control.loop.post(gatekeeper.EndpointDeparting{}) },
+	}
+	server := &http.Server{Handler: announcer.Handler(), ReadHeaderTimeout: announceTimeout, ReadTimeout: announceTimeout}
+	listener, err := s.listen()
+	if err != nil {
+		return err
+	}
+	var group errgroup.Group
+	group.Go(func() error {
+		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			return fmt.Errorf("serve announcements: %w", err)
+		}
+		return nil
+	})
+	<-ctx.Done()
+	stopCtx, cancel := context.WithTimeout(context.Background(), announceTimeout)
+	defer cancel()
+	if err := server.Shutdown(stopCtx); err != nil {
+		_ = server.Close()
+	}
+	return group.Wait()
+}
+
+func (s *announceServer) listen() (net.Listener, error) {
+	if s.listener != nil {
+		return s.listener, nil
+	}
+	listener, err := net.Listen("tcp", s.address)
+	if err != nil {
+		return nil, fmt.Errorf("listen for announcements: %w", err)
+	}
+	return listener, nil
+}
--- a/internal/daemon/launcher/config.go
+++ b/internal/daemon/launcher/config.go
@@ -59,8 +59,6 @@
 	EndpointURL string `json:"endpoint_url"`
 	// AnnounceListen is the TCP address on which the endpoint announces itself.
 	AnnounceListen string `json:"announce_listen"`
-	// Connections bounds the connections to the endpoint.
-	Connections int `json:"connections"`
 	// DrainPatience bounds the wait for running tasks in a graceful stop.
 	DrainPatience resolver.Duration   `json:"drain_patience"`
 	TLS           authenticator.Files `json:"tls"`
@@ -70,7 +68,6 @@
 
 const (
 	defaultJournalWrites = 100
-	defaultConnections   = 64
 	defaultTraceBytes    = 256 << 20
 	defaultDrainPatience = 30e9
 )
@@ -87,7 +84,6 @@
 // AgentDefaults returns the settings that apply where the file says nothing.
 func AgentDefaults() AgentConfig {
 	return AgentConfig{
-		Connections:   defaultConnections,
 		DrainPatience: defaultDrainPatience,
 		Log:           LogConfig{Level: "info", Format: "json"},
 	}
@@ -134,9 +130,6 @@
 	checkURL(report, "endpoint_url", c.EndpointURL)
 	checkAddress(report, "announce_listen", c.AnnounceListen, true)
 	checkAddress(report, "metrics_listen", c.MetricsListen, false)
-	if c.Connections < 1 {
-		report("connections", "must be at least 1")
-	}
 	if c.DrainPatience <= 0 {
 		report("drain_patience", "must be above 0")
 	}
--- /dev/null
+++ b/internal/daemon/launcher/entry.go
@@ -0,0 +1,175 @@
+package launcher
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+	"go.uber.org/zap"
+
+	"github.com/burdockrudder/burdockrudder/internal/dispatch/coordinator"
+	"github.com/burdockrudder/burdockrudder/internal/dispatch/messenger"
+	"github.com/burdockrudder/burdockrudder/internal/edge/server"
+	"github.com/burdockrudder/burdockrudder/internal/kernel/registrar"
+	"github.com/burdockrudder/burdockrudder/internal/platform/journaler"
+	"github.com/burdockrudder/burdockrudder/internal/platform/leaser"
+	"github.com/burdockrudder/burdockrudder/internal/platform/storer"
+	"github.com/burdockrudder/burdockrudder/internal/settings/versioner"
+)
+
+// entryStopPatience bounds each service's part of a graceful stop.
+const entryStopPatience = 30 * time.Second
+
+// Entry is the entry daemon. Its exported fields are set before Run. A host
+// program may supply its own table and transport.
+type Entry struct {
+	Config      EntryConfig
+	Incarnation messenger.Incarnation
+	// Seed seeds the decisions' random source.
+	Seed  uint64
+	Table storer.Table
+	// Transport builds the transport that delivers to the handler.
+	Transport func(handler Handler) Transport
+	// HTTPListener replaces Config.HTTPListen.
+	HTTPListener net.Listener
+	Logger       *zap.Logger
+	Scope        tally.Scope
+	// Metrics serves /metrics.
+	Metrics http.Handler
+	// Adjust, if set, changes the timing of the decisions.
+	Adjust func(*coordinator.Config)
+
+	control *entryControl
+}
+
+// Run runs the entry until ctx ends, then drains and returns.
+func (e *Entry) Run(ctx context.Context) error {
+	kernel, err := e.assemble()
+	if err != nil {
+		return fmt.Errorf("assemble entry %s: %w", e.Config.Name, err)
+	}
+	e.Logger.Info("entry starts", zap.String("incarnation", string(e.Incarnation)))
+	defer e.Logger.Info("entry has stopped", zap.String("incarnation", string(e.Incarnation)))
+	return kernel.Run(ctx)
+}
+
+// assemble registers the services; they stop in the reverse order: control
+// drains while HTTP still answers, and the transport goes last.
+func (e *Entry) assemble() (*registrar.Kernel, error) {
+	kernel := &registrar.Kernel{Logger: e.Logger, StopPatience: entryStopPatience}
+	control, err := e.newControl(kernel)
+	if err != nil {
+		return nil, err
+	}
+	e.control = control
+	parts := []struct {
+		name string
+		part any
+	}{
+		{serviceTransport, e.Transport(control)},
+		{serviceJournal, e.newJournal(control)},
+		{serviceLeaser, e.newLeaser(control)},
+		{serviceWatcher, e.newWatcher(control)},
+		{serviceHTTP, e.newServer(control)},
+		{serviceControl, control},
+	}
+	for _, p := range parts {
+		if err := kernel.Register(p.name, p.part); err != nil {
+			return nil, err
+		}
+	}
+	return kernel, nil
+}
+
+func (e *Entry) newControl(kernel *registrar.Kernel) (*entryControl, error) {
+	config := coordinator.Defaults(e.Config.Name, e.Incarnation, e.address())
+	if e.Adjust != nil {
+		e.Adjust(&config)
+	}
+	trace, err := openTrace(e.Config, e.Incarnation, e.address(), e.Seed)
+	if err != nil {
+		return nil, err
+	}
+	control := &entryControl{
+		kernel: kernel,
+		logger: e.Logger,
+		scope:  e.Scope,
+		trace:  trace,
+		clock:  newClock(),
+		sample: rand.New(rand.NewPCG(e.Seed, sampleStream)),
+		state: &coordinator.State{
+			Config: config,
+			Random: rand.New(rand.NewPCG(e.Seed, e.Seed)),
+		},
+	}
+	control.prepare(config.DrainPatience)
+	return control, nil
+}
+
+// address is what other processes dial.
+func (e *Entry) address() string {
+	if e.Config.Advertise != "" {
+		return e.Config.Advertise
+	}
+	return e.Config.Listen
+}
+
+func (e *Entry) newJournal(control *entryControl) *journaler.Journal {
+	return &journaler.Journal{
+		Table:           e.Table,
+		Writer:          e.Incarnation,
+		WritesPerSecond: e.Config.JournalWritesPerSecond,
+		Seed:            e.Seed,
+		Emit:            control.emit,
+		Logger:          e.Logger,
+		Metrics:         e.Scope,
+	}
+}
+
+func (e *Entry) newLeaser(control *entryControl) *leaser.Leaser {
+	l := &leaser.Leaser{
+		Table:       e.Table,
+		Name:        e.Config.Name,
+		Incarnation: e.Incarnation,
+		Address:     e.address(),
+		Emit:        control.emit,
+		Logger:      e.Logger,
+	}
+	l.Prepare()
+	return l
+}
+
+func (e *Entry) newWatcher(control *entryControl) *versioner.Watcher {
+	return &versioner.Watcher{
+		Table:  e.Table,
+		OnRead: control.settingsRead,
+		OnError: func(err error) {
+			e.Logger.Warn("settings not read", zap.Error(err))
+		},
+	}
+}
+
+func (e *Entry) newServer(control *entryControl) *server.Server {
+	return &server.Server{
+		Address:       e.Config.HTTPListen,
+		Listener:      e.HTTPListener,
+		RootKeySHA256: e.Config.RootKeySHA256,
+		Dispatcher:    control,
+		Settings:      &settingsStore{store: &versioner.Store{Table: e.Table}, control: control},
+		Metrics:       e.Metrics,
+		Logger:        e.Logger,
+		Scope:         e.Scope,
+	}
+}
+
+// Snapshot returns the last published state, nil before the first.
+func (e *Entry) Snapshot() *coordinator.Snapshot {
+	if e.control == nil {
+		return nil
+	}
+	return e.control.Snapshot()
+}
--- /dev/null
+++ b/internal/daemon/launcher/entry_call.go
@@ -0,0 +1,35 @@
+package launcher
+
+import (
+	"context"
+	"errors"
+
+	"github.com/burdockrudder/burdockrudder/internal/dispatch/coordinator"
+)
+
+// ErrStopped means that the entry stopped before it answered.
+var ErrStopped = errors.New("the entry has stopped")
+
+// Call hands a caller's event to the control goroutine and waits for its answer.
+func (c *entryControl) Call(ctx context.Context, event func(coordinator.CallID) coordinator.Event) (coordinator.Answer, error) {
+	call, answer := c.calls.open()
+	defer c.calls.close(call)
+	if !c.loop.post(event(call)) {
+		return nil, ErrStopped
+	}
+	select {
+	case a := <-answer:
+		return a, nil
+	case <-ctx.Done():
+		c.loop.post(coordinator.CallerGone{Call: call})
+		return nil, ctx.Err()
+	case <-c.loop.stopped:
+	}
+	// The reply may have been given by the last step of the loop.
+	select {
+	case a := <-answer:
+		return a, nil
+	default:
+		return nil, ErrStopped
+	}
+}
--- a/internal/daemon/launcher/loop.go
+++ b/internal/daemon/launcher/loop.go
@@ -23,6 +23,8 @@
 	drain E
 	// after runs on the control goroutine after each tick, to publish snapshots.
 	after func(now time.Time)
+	// now gives the time that is passed to handle.
+	now func() time.Time
 	// drainPatience ends a drain that does not complete.
 	drainPatience time.Duration
 }
@@ -55,7 +57,7 @@
 			end = l.step(event)
 		case <-ticker.C:
 			end = l.step(l.tick)
-			l.after(time.Now())
+			l.after(l.now())
 		case <-done:
 			done = nil
 			giveUp = time.After(l.drainPatience)
@@ -64,7 +66,7 @@
 			return context.DeadlineExceeded
 		}
 		if end {
-			l.after(time.Now())
+			l.after(l.now())
 			return nil
 		}
 	}
@@ -72,7 +74,7 @@
 
 func (l *loop[E, F]) step(event E) bool {
 	end := false
-	for _, effect := range l.handle(time.Now(), event) {
+	for _, effect := range l.handle(l.now(), event) {
 		if l.carryOut(effect) {
 			end = true
 		}
--- /dev/null
+++ b/internal/daemon/launcher/metrics.go
@@ -0,0 +1,44 @@
+package launcher
+
+import (
+	"io"
+	"net/http"
+	"time"
+
+	prometheus "github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"github.com/uber-go/tally/v4"
+	promreporter "github.com/uber-go/tally/v4/prometheus"
+)
+
+// metricsInterval is the time between reports of the scope.
+const metricsInterval = time.Second
+
+// Metrics is a daemon's metrics scope and the handler that serves it.
+type Metrics struct {
+	Scope   tally.Scope
+	Handler http.Handler
+	closer  io.Closer
+}
+
+// NewMetrics returns a scope that is served in the Prometheus text format.
+func NewMetrics(role, name string) *Metrics {
+	registry := prometheus.NewRegistry()
+	reporter := promreporter.NewReporter(promreporter.Options{Registerer: registry, Gatherer: registry})
+	scope, closer := tally.NewRootScope(tally.ScopeOptions{
+		Prefix:         "burdockrudder",
+		Tags:           map[string]string{"role": role, "name": name},
+		CachedReporter: reporter,
+		Separator:      promreporter.DefaultSeparator,
+	}, metricsInterval)
+	return &Metrics{
+		Scope:   scope,
+		Handler: promhttp.HandlerFor(registry, promhttp.HandlerOpts{}),
+		closer:  closer,
+	}
+}
+
+// Close stops the reports.
+func (m *Metrics) Close() {
+	_ = m.closer.Close()
+}
--- /dev/null
+++ b/internal/daemon/launcher/settings_store.go
@@ -0,0 +1,136 @@
+package launcher
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/burdockrudder/burdockrudder/internal/dispatch/coordinator"
+	"github.com/burdockrudder/burdockrudder/internal/edge/server"
+	"github.com/burdockrudder/burdockrudder/internal/edge/translator"
+	"github.com/burdockrudder/burdockrudder/internal/settings/parser"
+	"github.com/burdockrudder/burdockrudder/internal/settings/resolver"
+	"github.com/burdockrudder/burdockrudder/internal/settings/versioner"
+)
+
+const (
+	// acceptLease is the age of the last renewal of the entry row up to which an
+	// entry may accept changes. It is below the time after which the others stop
+	// counting on this entry for their confirmation of the settings.
+	acceptLease = 3 * time.Second
+	// inForcePoll is the wait between looks at whether a change is in force here.
+	inForcePoll    = 5 * time.Millisecond
+	settingsSource = "request"
+)
+
+// errNotAccepting means that this entry cannot accept changes now.
+var errNotAccepting = errors.New("this entry has not renewed its lease lately and accepts no changes")
+
+// settingsStore keeps the settings in the table and puts changes in force here
+// before they are reported as accepted.
+type settingsStore struct {
+	store   *versioner.Store
+	control *entryControl
+}
+
+// Head returns the version in force in the table.
+func (s *settingsStore) Head(ctx context.Context) (server.SettingsHead, error) {
+	head, err := s.store.Head(ctx)
+	if err != nil {
+		return server.SettingsHead{}, err
+	}
+	return server.SettingsHead{Version: head.Version, Tree: head.Tree}, nil
+}
+
+// Change commits a change and waits until it is in force at this entry, which
+// from then on spreads it.
+func (s *settingsStore) Change(ctx context.Context, change server.SettingsChange) (uint64, error) {
+	view := s.control.Snapshot()
+	if view == nil || s.control.clock.now().Sub(view.LeaseRenewedAt) > acceptLease {
+		return 0, errNotAccepting
+	}
+	accepted, err := s.store.Change(ctx, versioner.Edit{
+		Expected: change.Expected,
+		Author:   change.Author,
+		Reason:   change.Reason,
+		Tree:     change.Tree,
+	})
+	var conflict *versioner.ConflictError
+	if errors.As(err, &conflict) {
+		return 0, &server.ConflictError{Present: conflict.Present}
+	}
+	if err != nil {
+		return 0, err
+	}
+	tree := accepted.Tree
+	// No SentAt: a later change may have been committed already, so this is no
+	// confirmation.
+	s.control.loop.post(coordinator.SettingsRead{Version: accepted.Version, Tree: &tree})
+	return accepted.Version, s.awaitInForce(ctx, accepted.Version)
+}
+
+func (s *settingsStore) awaitInForce(ctx context.Context, version uint64) error {
+	ticker := time.NewTicker(inForcePoll)
+	defer ticker.Stop()
+	for {
+		if view := s.control.Snapshot(); view != nil && view.SettingsVersion >= version {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return fmt.Errorf("version %d is committed and not yet in force here: %w", version, ctx.Err())
+		case <-s.control.loop.stopped:
+			return ErrStopped
+		case <-ticker.C:
+		}
+	}
+}
+
+// History returns the youngest changes, youngest first.
+func (s *settingsStore) History(ctx context.Context, limit int) ([]server.SettingsRecord, error) {
+	changes, err := s.store.History(ctx, 0, limit)
+	if err != nil {
+		return nil, err
+	}
+	records := make([]server.SettingsRecord, 0, len(changes))
+	for _, change := range changes {
+		records = append(records, recordOf(change))
+	}
+	return records, nil
+}
+
+// Get returns one version.
+func (s *settingsStore) Get(ctx context.Context, version uint64) (server.SettingsRecord, error) {
+	change, err := s.store.Get(ctx, version)
+	var unknown *versioner.UnknownVersionError
+	if errors.As(err, &unknown) {
+		return server.SettingsRecord{}, server.ErrNoVersion
+	}
+	if err != nil {
+		return server.SettingsRecord{}, err
+	}
+	return recordOf(change), nil
+}
+
+func recordOf(change versioner.Change) server.SettingsRecord {
+	return server.SettingsRecord{
+		Version: change.Version,
+		Author:  change.Author,
+		Reason:  change.Reason,
+		Time:    change.Time,
+		Tree:    change.Tree,
+	}
+}
+
+// Parse reads a settings tree and returns its findings.
+func (s *settingsStore) Parse(text []byte) (resolver.Tree, []translator.Finding) {
+	tree, findings := parser.Parse(settingsSource, text)
+	converted := make([]translator.Finding, 0, len(findings))
+	for _, f := range findings {
+		converted = append(converted, translator.Finding{
+			Level: string(f.Level), Path: f.Path, Line: f.Line, Column: f.Column, Message: f.Message,
+		})
+	}
+	return tree, converted
+}
--- a/internal/dispatch/coordinator/dispatch.go
+++ b/internal/dispatch/coordinator/dispatch.go
@@ -75,7 +75,7 @@
 
 // mayDispatch is false while this entry has not proved that it was not replaced.
 func (s *State) mayDispatch() bool {
-	return !s.unproved && (s.lifeCycle.Is(entryActive) || s.lifeCycle.Is(entryDraining))
+	return s.lifeCycle.Is(entryActive) || s.lifeCycle.Is(entryDraining)
 }
 
 // dispatch sends waiting tasks while slots are thought to be free. The classes
@@ -85,8 +85,8 @@
 		return
 	}
 	for _, c := range s.order {
-		for s.dispatchNext(c) {
-			continue
+		if c.queue.Len() > 0 {
+			s.dispatchClass(c)
 		}
 	}
 	if len(s.order) > 1 {
@@ -94,37 +94,40 @@
 	}
 }
 
-func (s *State) dispatchNext(c *class) bool {
-	item, ok := c.queue.Peek(s.now, s.Random)
-	if !ok {
-		return false
-	}
-	t := s.findTask(item.Task)
-	if t == nil || t.phase != taskWaiting || t.attempt != item.Attempt {
-		c.queue.Pop(s.now, s.Random)
-		return true
-	}
-	choice, ok := s.choose(t, c, "")
-	if !ok {
-		return false
-	}
-	c.queue.Pop(s.now, s.Random)
+// dispatchClass scans the queue in order. A task that waits for a faster
+// endpoint does not keep those behind it from the slots that are free.
+func (s *State) dispatchClass(c *class) {
+	c.queue.Scan(s.now, func(item limiter.Item, place int) limiter.Step {
+		t := s.findTask(item.Task)
+		choice, ok := s.choose(t, c, "", place)
+		if !ok && choice.Reason == placer.ReasonHeldBack {
+			return limiter.Hold
+		}
+		if !ok {
+			return limiter.Stop
+		}
+		s.place(t, choice)
+		return limiter.Take
+	})
+}
+
+func (s *State) place(t *task, choice placer.Choice) {
 	kind := DecisionPlace
 	if t.attempt > 0 {
 		kind = DecisionReplace
 		s.counters.StartsAgain++
 	}
 	s.sendCopy(t, t.attempt, choice, kind)
-	return true
 }
 
-func (s *State) choose(t *task, c *class, avoid string) (placer.Choice, bool) {
+func (s *State) choose(t *task, c *class, avoid string, place int) (placer.Choice, bool) {
 	return s.index.Choose(s.now, s.Random, placer.Query{
 		Firm:     c.key.firm,
 		Service:  c.key.service,
 		Labels:   c.labels,
 		Declared: t.job.submission.Tasks[t.index].DeclaredRunTime,
 		Avoid:    avoid,
+		Waiting:  place,
 		Urgent:   t.job.submission.Priority == messenger.PriorityHigh,
 	})
 }
@@ -202,7 +205,7 @@
 	if t.phase != taskSent || t.hedged || len(t.copies) != 1 || s.now.Sub(t.copies[0].at) < after {
 		return
 	}
-	choice, ok := s.choose(t, t.class, t.copies[0].agent.name)
+	choice, ok := s.choose(t, t.class, t.copies[0].agent.name, 0)
 	if !ok || choice.Endpoint == t.copies[0].agent.name || !s.budgetOf(t.job).Retry() {
 		return
 	}
--- a/internal/platform/leaser/leaser.go
+++ b/internal/platform/leaser/leaser.go
@@ -61,7 +61,7 @@
 	select {
 	case l.renewals <- effect:
 	default:
-		l.Emit(coordinator.LeaseRenewed{Failed: true})
+		l.Emit(coordinator.LeaseRenewed{Renewal: effect.Renewal, Failed: true})
 	}
 }
 
@@ -104,6 +104,7 @@
 		l.Logger.Warn("lease not renewed", zap.Error(err))
 		event = coordinator.LeaseRenewed{Failed: true}
 	}
+	event.Renewal = effect.Renewal
 	l.Emit(event)
 }
 
--- a/internal/standin/executor/endpoint.go
+++ b/internal/standin/executor/endpoint.go
@@ -61,6 +61,10 @@
 	Speed float64
 	// Agent is the base URL of the agent; empty means no announcements.
 	Agent string
+	// OnStart and OnEnd, if set, are called when a task starts and when it has
+	// run. The task is firm/service/submission#index, escaped as in the headers.
+	OnStart func(task string)
+	OnEnd   func(task string, runTime time.Duration)
 
 	mu       sync.Mutex
 	draining bool
@@ -101,12 +105,16 @@
 		reply(w, http.StatusBadRequest, invoker.Failure{Error: err.Error()})
 		return
 	}
-	if !e.begin(taskOf(r.Header)) {
+	task := taskOf(r.Header)
+	if !e.begin(task) {
 		w.Header().Set(invoker.HeaderNotStarted, "true")
 		reply(w, http.StatusServiceUnavailable, invoker.Failure{Error: "no free slot"})
 		return
 	}
 	defer e.end()
+	if e.OnStart != nil {
+		e.OnStart(task)
+	}
 	if payload.Label != "" && !slices.Contains(e.Labels, payload.Label) {
 		reply(w, http.StatusUnprocessableEntity, invoker.Failure{Error: "label is not offered: " + payload.Label})
 		return
@@ -114,6 +122,9 @@
 	if !e.run(r, payload) {
 		panic(http.ErrAbortHandler)
 	}
+	if e.OnEnd != nil {
+		e.OnEnd(task, time.Duration(payload.RunTimeMS*float64(time.Millisecond)))
+	}
 	if payload.Fail != "" {
 		reply(w, http.StatusInternalServerError, invoker.Failure{Error: payload.Fail})
 		return
