--- /dev/null
+++ b/internal/demo/runner/clients.go
@@ -0,0 +1,221 @@
+package runner
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/burdockrudder/burdockrudder/internal/dispatch/messenger"
+	"github.com/burdockrudder/burdockrudder/internal/edge/caller"
+	"github.com/burdockrudder/burdockrudder/internal/edge/translator"
+	"github.com/burdockrudder/burdockrudder/internal/settings/resolver"
+	"github.com/burdockrudder/burdockrudder/internal/standin/executor"
+)
+
+const (
+	// jobDeadline is far above the longest task on the slowest endpoint.
+	jobDeadline = 25 * time.Second
+	// resubmitAfter is when an impatient client sends its job again.
+	resubmitAfter = 300 * time.Millisecond
+	// retryPause is the wait of a client whose answer is still unknown.
+	retryPause = 500 * time.Millisecond
+	// patience is how long a client goes on asking for its answer.
+	patience = 40 * time.Second
+)
+
+// delayedTransport adds the one-way delay between clients and entries.
+type delayedTransport struct {
+	delay time.Duration
+	inner http.RoundTripper
+}
+
+// RoundTrip delays the request and the response.
+func (t delayedTransport) RoundTrip(request *http.Request) (*http.Response, error) {
+	time.Sleep(t.delay)
+	response, err := t.inner.RoundTrip(request)
+	time.Sleep(t.delay)
+	return response, err
+}
+
+// result is what a client got.
+type result struct {
+	job      int
+	outcome  translator.Outcome
+	answered bool
+	refused  error
+	response time.Duration
+}
+
+// clients submit the load and keep the results.
+type clients struct {
+	cluster *cluster
+	began   time.Time
+	http    *http.Client
+
+	mu      sync.Mutex
+	results []result
+	// repeated holds the outcomes that resubmissions got, by job.
+	repeated map[int][]translator.Outcome
+}
+
+func newClients(c *cluster) *clients {
+	inner := http.DefaultTransport.(*http.Transport).Clone()
+	const idle = 256
+	inner.MaxIdleConnsPerHost = idle
+	return &clients{
+		cluster:  c,
+		http:     &http.Client{Transport: delayedTransport{delay: c.deployment.ClientDelay, inner: inner}},
+		repeated: make(map[int][]translator.Outcome),
+	}
+}
+
+// client returns a client that tries the entries from a given one on.
+func (c *clients) client(first int, key string) *caller.Client {
+	client := &caller.Client{Key: key, HTTP: c.http}
+	for i := range c.cluster.entries {
+		entry := c.cluster.entries[(first+i)%len(c.cluster.entries)]
+		client.Servers = append(client.Servers, entry.url)
+	}
+	return client
+}
+
+func jobBody(job plannedJob) translator.Job {
+	body := translator.Job{Options: translator.Options{
+		ID: job.id, Deadline: resolver.Duration(jobDeadline),
+	}}
+	if job.high {
+		body.Priority = "high"
+	}
+	for _, task := range job.tasks {
+		body.Tasks = append(body.Tasks, translator.Task{
+			Payload:         encodePayload(task),
+			DeclaredRunTime: resolver.Duration(task.declared),
+		})
+	}
+	return body
+}
+
+// submit sends a job and goes on with the same id until the answer is final.
+func (c *clients) submit(ctx context.Context, number int, job plannedJob) {
+	ctx, cancel := context.WithTimeout(ctx, patience)
+	defer cancel()
+	r := result{job: number}
+	for try := 0; ; try++ {
+		outcome, err := c.client(number+try, callerSecret).SubmitJob(ctx, c.cluster.deployment.Firm, c.cluster.deployment.Service, jobBody(job))
+		if err == nil {
+			r.outcome, r.answered = outcome, true
+			break
+		}
+		r.refused = err
+		if !mayRetry(err) || !pause(ctx, retryPause) {
+			break
+		}
+	}
+	r.response = time.Since(c.began) - job.arrival
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.results = append(c.results, r)
+}
+
+// mayRetry tells whether another try with the same id may get the answer.
+func mayRetry(err error) bool {
+	var unknown *caller.UnknownError
+	if errors.As(err, &unknown) {
+		return true
+	}
+	var refused *translator.Error
+	if !errors.As(err, &refused) {
+		return true
+	}
+	switch refused.Code {
+	case translator.Code(messenger.CodeNotRun), translator.Code(messenger.CodeOutcomeUnknown):
+		return true
+	default:
+		return false
+	}
+}
+
+func pause(ctx context.Context, length time.Duration) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(length):
+		return true
+	}
+}
+
+// resubmit sends a job that is under way again, to another entry.
+func (c *clients) resubmit(ctx context.Context, number int, job plannedJob) {
+	ctx, cancel := context.WithTimeout(ctx, patience)
+	defer cancel()
+	if !pause(ctx, resubmitAfter) {
+		return
+	}
+	client := c.client(number+1, callerSecret)
+	outcome, err := client.SubmitJob(ctx, c.cluster.deployment.Firm, c.cluster.deployment.Service, jobBody(job))
+	if err != nil {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.repeated[number] = append(c.repeated[number], outcome)
+}
+
+// wrongAnswers counts complete answers that are not whole or not the job's own,
+// and resubmissions that were told another outcome.
+func (c *clients) wrongAnswers(jobs []plannedJob) int {
+	wrong := 0
+	for _, r := range c.results {
+		if !r.answered {
+			continue
+		}
+		if r.outcome.Status == translator.StatusComplete && !whole(jobs[r.job], r.outcome) {
+			wrong++
+		}
+		for _, repeated := range c.repeated[r.job] {
+			if !cmp.Equal(repeated, r.outcome) {
+				wrong++
+			}
+		}
+	}
+	return wrong
+}
+
+func whole(job plannedJob, outcome translator.Outcome) bool {
+	if outcome.ID != job.id || len(outcome.Tasks) != len(job.tasks) {
+		return false
+	}
+	for i, task := range outcome.Tasks {
+		if task.State != messenger.TaskSucceeded || !echoes(task.Result, job.tasks[i].echo) {
+			return false
+		}
+	}
+	return true
+}
+
+func encodePayload(task plannedTask) json.RawMessage {
+	echo, err := json.Marshal(task.echo)
+	if err != nil {
+		panic(fmt.Sprintf("encode echo: %v", err))
+	}
+	text, err := json.Marshal(executor.Payload{RunTimeMS: float64(task.runTime.Milliseconds()), Echo: echo})
+	if err != nil {
+		panic(fmt.Sprintf("encode payload: %v", err))
+	}
+	return text
+}
+
+func echoes(body []byte, want string) bool {
+	var got executor.Result
+	var echo string
+	if json.Unmarshal(body, &got) != nil || json.Unmarshal(got.Echo, &echo) != nil {
+		return false
+	}
+	return echo == want
+}
--- /dev/null
+++ b/internal/demo/runner/cluster.go
@@ -0,0 +1,341 @@
+package runner
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/burdockrudder/burdockrudder/internal/daemon/launcher"
+	"github.com/burdockrudder/burdockrudder/internal/dispatch/messenger"
+	"github.com/burdockrudder/burdockrudder/internal/edge/invoker"
+	"github.com/burdockrudder/burdockrudder/internal/platform/storer"
+	"github.com/burdockrudder/burdockrudder/internal/settings/resolver"
+	"github.com/burdockrudder/burdockrudder/internal/settings/versioner"
+	"github.com/burdockrudder/burdockrudder/internal/standin/executor"
+	"github.com/burdockrudder/burdockrudder/internal/standin/tablekeeper"
+	"github.com/burdockrudder/burdockrudder/internal/transport/authenticator"
+	"github.com/burdockrudder/burdockrudder/internal/transport/linker"
+)
+
+// The table service of the platform: several ms for a synced write, several
+// hundred writes and about 2,000 reads a second.
+const (
+	writeLatency    = 4 * time.Millisecond
+	readLatency     = time.Millisecond
+	latencyJitter   = 0.3
+	writesPerSecond = 400
+	readsPerSecond  = 2000
+	tableTimeout    = time.Second
+	// journalShare is each entry's part of the write budget.
+	journalShare = 120
+
+	callerSecret   = "demo-caller"
+	operatorSecret = "demo-operator"
+	readyPoll      = 20 * time.Millisecond
+	certificateAge = 24 * time.Hour
+)
+
+// cluster is all processes of a demo, inside this one.
+type cluster struct {
+	deployment Deployment
+	seed       uint64
+	logger     *zap.Logger
+	authority  *authenticator.Authority
+	keeper     *tablekeeper.Keeper
+	tableURL   string
+	entries    []*entryProcess
+	agents     []*agentProcess
+	group      *errgroup.Group
+	servers    []*http.Server
+}
+
+// entryProcess is one entry with what the demo needs to break it.
+type entryProcess struct {
+	isolation *isolation
+	entry     *launcher.Entry
+	transport *linker.Transport
+	scope     tally.TestScope
+	url       string
+	stop      context.CancelFunc
+}
+
+// agentProcess is one agent and its endpoint.
+type agentProcess struct {
+	isolation *isolation
+	agent     *launcher.Agent
+	executor  *executor.Endpoint
+	observed  *observations
+	scope     tally.TestScope
+	stop      context.CancelFunc
+}
+
+// startCluster starts the platform, the entries and the agents, and waits until
+// every entry knows every endpoint.
+func startCluster(ctx context.Context, d Deployment, seed uint64, logger *zap.Logger, group *errgroup.Group) (*cluster, error) {
+	authority, err := authenticator.NewAuthority("demo", certificateAge)
+	if err != nil {
+		return nil, err
+	}
+	c := &cluster{deployment: d, seed: seed, logger: logger, authority: authority, group: group}
+	if err := c.startPlatform(ctx); err != nil {
+		return nil, err
+	}
+	for i := range d.Entries {
+		if err := c.startEntry(ctx, fmt.Sprintf("entry-%d", i+1)); err != nil {
+			return nil, err
+		}
+	}
+	for i := range d.Endpoints {
+		if err := c.startAgent(ctx, i); err != nil {
+			return nil, err
+		}
+	}
+	return c, c.awaitReady(ctx)
+}
+
+func listen() (net.Listener, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, fmt.Errorf("listen on loopback: %w", err)
+	}
+	return listener, nil
+}
+
+func (c *cluster) startPlatform(ctx context.Context) error {
+	c.keeper = &tablekeeper.Keeper{
+		WriteLatency:    writeLatency,
+		ReadLatency:     readLatency,
+		Jitter:          latencyJitter,
+		WritesPerSecond: writesPerSecond,
+		ReadsPerSecond:  readsPerSecond,
+		Seed:            c.seed,
+	}
+	listener, err := listen()
+	if err != nil {
+		return err
+	}
+	platform := &http.Server{Handler: c.keeper.Handler(), ReadHeaderTimeout: tableTimeout}
+	c.servers = append(c.servers, platform)
+	c.group.Go(func() error {
+		if err := platform.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			return fmt.Errorf("serve platform: %w", err)
+		}
+		return nil
+	})
+	c.tableURL = "http://" + listener.Addr().String()
+	settings := &versioner.Store{Table: c.keeper}
+	_, err = settings.Change(ctx, versioner.Edit{Author: "demo", Reason: "first settings", Tree: c.tree()})
+	return err
+}
+
+// tree declares the deployment with one caller and one operator.
+func (c *cluster) tree() resolver.Tree {
+	place := resolver.Place{FailureDomains: make(map[string]resolver.FailureDomain)}
+	for _, domain := range c.deployment.Domains {
+		place.FailureDomains[domain] = resolver.FailureDomain{
+			Services: map[string]resolver.Service{c.deployment.Service: {}},
+		}
+	}
+	return resolver.Tree{Firms: map[string]resolver.Firm{c.deployment.Firm: {
+		Keys: []resolver.Key{
+			{Name: "caller", Role: resolver.RoleCaller, Team: "desk", SecretSHA256: authenticator.HashKey(callerSecret).String()},
+			{Name: "operator", Role: resolver.RoleOperator, SecretSHA256: authenticator.HashKey(operatorSecret).String()},
+		},
+		Teams:  map[string]resolver.Team{"desk": {Weight: 1}},
+		Places: map[string]resolver.Place{c.deployment.Place: place},
+	}}}
+}
+
+func (c *cluster) startEntry(ctx context.Context, name string) error {
+	incarnation, err := launcher.NewIncarnation(name)
+	if err != nil {
+		return err
+	}
+	tlsConfig, err := c.authority.Config(authenticator.Identity{Name: name, Role: string(messenger.RoleEntry)}, net.IPv4(127, 0, 0, 1))
+	if err != nil {
+		return err
+	}
+	listener, err := listen()
+	if err != nil {
+		return err
+	}
+	address, err := freeUDPAddress()
+	if err != nil {
+		return err
+	}
+	p := &entryProcess{isolation: &isolation{}, scope: tally.NewTestScope("", nil), url: "http://" + listener.Addr().String()}
+	p.isolation.onCut(func() { _ = listener.Close() })
+	p.transport = &linker.Transport{
+		Hello:   messenger.Hello{Role: messenger.RoleEntry, Name: name, Incarnation: incarnation},
+		Listen:  address,
+		TLS:     tlsConfig,
+		Logger:  c.logger,
+		Metrics: p.scope,
+		Delay:   c.delay,
+	}
+	p.entry = &launcher.Entry{
+		Config:       launcher.EntryConfig{Name: name, Listen: address, JournalWritesPerSecond: journalShare},
+		Incarnation:  incarnation,
+		Seed:         c.seed,
+		Table:        isolatedTable{Table: &storer.Client{BaseURL: c.tableURL, HTTP: &http.Client{}, Timeout: tableTimeout}, isolation: p.isolation},
+		HTTPListener: isolatedListener{Listener: listener, isolation: p.isolation},
+		Logger:       c.logger.Named(name),
+		Scope:        p.scope,
+		Transport: func(handler launcher.Handler) launcher.Transport {
+			p.transport.Handler = isolatedHandler{Handler: handler, isolation: p.isolation}
+			return isolatedTransport{Transport: p.transport, isolation: p.isolation}
+		},
+	}
+	c.entries = append(c.entries, p)
+	p.stop = c.run(ctx, p.isolation, p.entry.Run)
+	return nil
+}
+
+// run starts a daemon. What a dead daemon returns does not matter any more.
+func (c *cluster) run(ctx context.Context, i *isolation, daemon func(context.Context) error) context.CancelFunc {
+	own, stop := context.WithCancel(context.WithoutCancel(ctx))
+	c.group.Go(func() error {
+		if err := daemon(own); err != nil && !i.dead.Load() {
+			return err
+		}
+		return nil
+	})
+	return stop
+}
+
+func (c *cluster) startAgent(ctx context.Context, number int) error {
+	name := fmt.Sprintf("agent-%02d", number+1)
+	incarnation, err := launcher.NewIncarnation(name)
+	if err != nil {
+		return err
+	}
+	tlsConfig, err := c.authority.Config(authenticator.Identity{Name: name, Role: string(messenger.RoleAgent)})
+	if err != nil {
+		return err
+	}
+	endpoint, err := listen()
+	if err != nil {
+		return err
+	}
+	announce, err := listen()
+	if err != nil {
+		return err
+	}
+	p := &agentProcess{isolation: &isolation{}, scope: tally.NewTestScope("", nil), observed: &observations{}}
+	p.executor = c.newExecutor(number, p.observed, "http://"+announce.Addr().String())
+	client := &invoker.HTTP{BaseURL: "http://" + endpoint.Addr().String(), DialTimeout: tableTimeout}
+	client.Prepare()
+	p.agent = &launcher.Agent{
+		Config:           c.agentConfig(name, number),
+		Incarnation:      incarnation,
+		Endpoint:         client,
+		AnnounceListener: announce,
+		Logger:           c.logger.Named(name),
+		Scope:            p.scope,
+	}
+	p.agent.Transport = func(handler launcher.Handler) launcher.Transport {
+		transport := &linker.Transport{
+			Hello:   p.agent.Hello(),
+			TLS:     tlsConfig,
+			Handler: isolatedHandler{Handler: handler, isolation: p.isolation},
+			Logger:  c.logger,
+			Metrics: p.scope,
+			Delay:   c.delay,
+		}
+		return isolatedTransport{Transport: transport, isolation: p.isolation}
+	}
+	c.agents = append(c.agents, p)
+	stopAgent := c.run(ctx, p.isolation, p.agent.Run)
+	stopExecutor := c.run(ctx, p.isolation, func(ctx context.Context) error { return p.executor.Run(ctx, endpoint) })
+	p.stop = func() {
+		stopAgent()
+		stopExecutor()
+	}
+	return nil
+}
+
+func (c *cluster) agentConfig(name string, number int) launcher.AgentConfig {
+	config := launcher.AgentDefaults()
+	config.Name = name
+	config.Firm = c.deployment.Firm
+	config.Place = c.deployment.Place
+	config.FailureDomain = c.deployment.domain(number)
+	for _, e := range c.entries {
+		config.Entries = append(config.Entries, e.entry.Config.Listen)
+	}
+	return config
+}
+
+// delay is the one-way delay between our processes.
+func (c *cluster) delay(messenger.Hello) time.Duration {
+	return c.deployment.DomainDelay
+}
+
+// freeUDPAddress finds a free port on loopback.
+func freeUDPAddress() (string, error) {
+	conn, err := net.ListenPacket("udp", "127.0.0.1:0")
+	if err != nil {
+		return "", fmt.Errorf("find a free port: %w", err)
+	}
+	defer conn.Close()
+	return conn.LocalAddr().String(), nil
+}
+
+// awaitReady waits until every entry is active and every endpoint has confirmed settings.
+func (c *cluster) awaitReady(ctx context.Context) error {
+	ticker := time.NewTicker(readyPoll)
+	defer ticker.Stop()
+	for !c.ready() {
+		select {
+		case <-ctx.Done():
+			return fmt.Errorf("wait for the cluster: %w", ctx.Err())
+		case <-ticker.C:
+		}
+	}
+	return nil
+}
+
+func (c *cluster) ready() bool {
+	for _, e := range c.entries {
+		view := e.entry.Snapshot()
+		if view == nil || view.LifeCycle != "active" || len(view.Endpoints) < c.deployment.Endpoints {
+			return false
+		}
+		if len(view.Directory) < c.deployment.Entries {
+			return false
+		}
+		for _, endpoint := range view.Endpoints {
+			if endpoint.SettingsVersion < view.SettingsVersion || endpoint.State != "in" {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// muteLinks makes links from the first entry go silent; new ones work.
+func (c *cluster) muteLinks(count int) {
+	for i := range min(count, len(c.agents)) {
+		c.entries[0].transport.Mute(c.agents[i].agent.Incarnation)
+	}
+}
+
+// stop stops everything gracefully; dead daemons are not waited for.
+func (c *cluster) stop(ctx context.Context) {
+	for _, e := range c.entries {
+		e.stop()
+	}
+	for _, a := range c.agents {
+		a.stop()
+	}
+	for _, s := range c.servers {
+		_ = s.Shutdown(ctx)
+	}
+}
--- /dev/null
+++ b/internal/demo/runner/report.go
@@ -0,0 +1,125 @@
+package runner
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"text/tabwriter"
+)
+
+// Report is the result of a run. All counts of starts come from the endpoints.
+type Report struct {
+	Deployment string  `json:"deployment"`
+	Fault      string  `json:"fault"`
+	Seed       uint64  `json:"seed"`
+	Load       float64 `json:"load"`
+
+	Jobs     int `json:"jobs"`
+	Complete int `json:"complete"`
+	Failed   int `json:"failed"`
+	// Refused counts submissions that ended without an outcome.
+	Refused int `json:"refused"`
+	// Unanswered counts submissions that got no answer at all.
+	Unanswered         int    `json:"unanswered"`
+	TaskStarts         uint64 `json:"task_starts"`
+	DoubleStarts       uint64 `json:"double_starts"`
+	StartsAfterTakeOut int    `json:"starts_after_takeout"`
+	// WrongAnswers counts complete answers with a missing or foreign result, and
+	// resubmissions that were told another outcome.
+	WrongAnswers int `json:"wrong_answers"`
+	// UntrueNotRun counts tasks that were told not to have run and did.
+	UntrueNotRun int `json:"untrue_not_run"`
+	// SlotViolations counts calls above the slots or connections of an endpoint.
+	SlotViolations uint64 `json:"slot_violations"`
+
+	ResponseOverIdealP50     float64 `json:"response_over_ideal_p50"`
+	ResponseOverIdealP90     float64 `json:"response_over_ideal_p90"`
+	ResponseOverIdealP99     float64 `json:"response_over_ideal_p99"`
+	HighResponseOverIdealP50 float64 `json:"high_response_over_ideal_p50"`
+	HighResponseOverIdealP99 float64 `json:"high_response_over_ideal_p99"`
+	// WastedMessagesPerStart includes the messages to the store.
+	WastedMessagesPerStart        float64 `json:"wasted_messages_per_start"`
+	WastedMessagesPerStartNoStore float64 `json:"wasted_messages_per_start_without_store"`
+	// TakeOutWorkRatio is 0 if no failure domain was taken out.
+	TakeOutWorkRatio float64 `json:"takeout_work_ratio"`
+	// ControlBytesPerSecond is the mean of the agents, both directions.
+	ControlBytesPerSecond float64 `json:"control_bytes_per_second"`
+	ElapsedSeconds        float64 `json:"elapsed_seconds"`
+}
+
+// Broken lists the invariants that the run has broken.
+func (r *Report) Broken() []string {
+	var broken []string
+	check := func(count int, what string) {
+		if count > 0 {
+			broken = append(broken, fmt.Sprintf("%d %s", count, what))
+		}
+	}
+	check(int(r.DoubleStarts), "double starts")
+	check(r.StartsAfterTakeOut, "starts after the take-out")
+	check(r.WrongAnswers, "wrong answers")
+	check(r.UntrueNotRun, "tasks that ran and were told not to have run")
+	check(int(r.SlotViolations), "calls above an endpoint's slots or connections")
+	check(r.Unanswered, "submissions without an answer")
+	return broken
+}
+
+// Print writes the report as a table.
+func (r *Report) Print(to io.Writer) error {
+	table := tabwriter.NewWriter(to, 0, 0, 2, ' ', 0)
+	rows := []struct {
+		name  string
+		value any
+	}{
+		{"deployment", r.Deployment},
+		{"fault", r.Fault},
+		{"seed", r.Seed},
+		{"jobs", r.Jobs},
+		{"complete", r.Complete},
+		{"failed", r.Failed},
+		{"refused", r.Refused},
+		{"unanswered", r.Unanswered},
+		{"task starts", r.TaskStarts},
+		{"double starts", r.DoubleStarts},
+		{"starts after take-out", r.StartsAfterTakeOut},
+		{"wrong answers", r.WrongAnswers},
+		{"untrue not_run", r.UntrueNotRun},
+		{"response over ideal p50", ratio(r.ResponseOverIdealP50)},
+		{"response over ideal p90", ratio(r.ResponseOverIdealP90)},
+		{"response over ideal p99", ratio(r.ResponseOverIdealP99)},
+		{"  high priority p50", ratio(r.HighResponseOverIdealP50)},
+		{"  high priority p99", ratio(r.HighResponseOverIdealP99)},
+		{"wasted messages per start", ratio(r.WastedMessagesPerStart)},
+		{"  without the store", ratio(r.WastedMessagesPerStartNoStore)},
+		{"work ratio through take-out", ratio(r.TakeOutWorkRatio)},
+		{"control bytes/s per agent", ratio(r.ControlBytesPerSecond)},
+		{"elapsed", fmt.Sprintf("%.1f s", r.ElapsedSeconds)},
+	}
+	for _, row := range rows {
+		if _, err := fmt.Fprintf(table, "%s\t%v\n", row.name, row.value); err != nil {
+			return fmt.Errorf("print report: %w", err)
+		}
+	}
+	if err := table.Flush(); err != nil {
+		return fmt.Errorf("print report: %w", err)
+	}
+	return nil
+}
+
+func ratio(value float64) string {
+	return fmt.Sprintf("%.3f", value)
+}
+
+// Write writes the report as one JSON object.
+func (r *Report) Write(path string) error {
+	text, err := json.Marshal(r)
+	if err != nil {
+		return fmt.Errorf("encode report: %w", err)
+	}
+	const mode = 0o644
+	if err := os.WriteFile(path, append(text, '\n'), mode); err != nil {
+		return fmt.Errorf("write report: %w", err)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/demo/runner/runner.go
@@ -0,0 +1,250 @@
+// Package runner runs the demo: all processes of a deployment inside one, over
+// real loopback sockets, under load and with faults, and checks what the callers
+// and the endpoints have seen.
+package runner
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"time"
+
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/burdockrudder/burdockrudder/internal/demo/scorer"
+	"github.com/burdockrudder/burdockrudder/internal/dispatch/messenger"
+)
+
+// Runner is one run of the demo. Its exported fields are set before Run.
+type Runner struct {
+	Deployment Deployment
+	Seed       uint64
+	Jobs       int
+	// Load is the offered work as a share of the capacity.
+	Load  float64
+	Fault Fault
+	// TakeOut takes a failure domain out and brings it back.
+	TakeOut bool
+	// Progress gets a line per second; nil means none.
+	Progress io.Writer
+	Logger   *zap.Logger
+
+	jobs    []plannedJob
+	cluster *cluster
+	clients *clients
+	domain  string
+	takeOut domainTimes
+}
+
+// domainTimes are the moments of a take-out, since the start of the load.
+type domainTimes struct {
+	accepted, returned time.Duration
+	done               bool
+}
+
+const (
+	// startPatience bounds the start of all processes.
+	startPatience = 15 * time.Second
+	// The domain is taken out and comes back at these parts of the arrivals.
+	takeOutPercent = 35
+	returnPercent  = 65
+	// stopPatience bounds the stop of all processes.
+	stopPatience = 20 * time.Second
+	// takeOutBound is the time after acceptance from which nothing starts.
+	takeOutBound = 3 * time.Second
+)
+
+// Run starts the processes, runs the load and returns the report.
+func (r *Runner) Run(ctx context.Context) (*Report, error) {
+	began := time.Now()
+	group, ctx := errgroup.WithContext(ctx)
+	startCtx, cancel := context.WithTimeout(ctx, startPatience)
+	defer cancel()
+	cluster, err := startCluster(startCtx, r.Deployment, r.Seed, r.Logger, group)
+	if err != nil {
+		return nil, err
+	}
+	r.cluster = cluster
+	r.jobs = planLoad(r.Deployment, r.Seed, r.Jobs, r.Load)
+	r.clients = newClients(cluster)
+	if err := r.load(ctx); err != nil {
+		return nil, err
+	}
+	report, err := r.report()
+	if err != nil {
+		return nil, err
+	}
+	if err := r.stop(ctx, group); err != nil {
+		return nil, err
+	}
+	report.ElapsedSeconds = time.Since(began).Seconds()
+	return report, nil
+}
+
+func (r *Runner) stop(ctx context.Context, group *errgroup.Group) error {
+	stopCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), stopPatience)
+	defer cancel()
+	r.cluster.stop(stopCtx)
+	if r.cluster.anyDead() {
+		// A dead daemon cannot drain; it ends with this process.
+		return nil
+	}
+	return group.Wait()
+}
+
+// span is the time of the last arrival.
+func (r *Runner) span() time.Duration {
+	return r.jobs[len(r.jobs)-1].arrival
+}
+
+// load submits the jobs in an open loop, with faults and the take-out beside it.
+func (r *Runner) load(ctx context.Context) error {
+	r.clients.began = time.Now()
+	var group errgroup.Group
+	for number, job := range r.jobs {
+		group.Go(func() error {
+			if pauseUntil(ctx, r.clients.began.Add(job.arrival)) {
+				r.clients.submit(ctx, number, job)
+			}
+			return nil
+		})
+		if job.resubmit {
+			group.Go(func() error {
+				if pauseUntil(ctx, r.clients.began.Add(job.arrival)) {
+					r.clients.resubmit(ctx, number, job)
+				}
+				return nil
+			})
+		}
+	}
+	for _, s := range faultPlan(r.Fault, r.span()) {
+		group.Go(func() error {
+			if pauseUntil(ctx, r.clients.began.Add(s.at)) {
+				r.say("fault %s", r.Fault)
+				s.do(r.cluster)
+			}
+			return nil
+		})
+	}
+	if r.TakeOut {
+		group.Go(func() error { return r.takeOutAndReturn(ctx) })
+	}
+	done := make(chan struct{})
+	var progress errgroup.Group
+	progress.Go(func() error {
+		r.showProgress(done)
+		return nil
+	})
+	err := group.Wait()
+	close(done)
+	_ = progress.Wait()
+	return err
+}
+
+func pauseUntil(ctx context.Context, at time.Time) bool {
+	return pause(ctx, time.Until(at))
+}
+
+// takeOutAndReturn takes the first failure domain out and brings it back.
+func (r *Runner) takeOutAndReturn(ctx context.Context) error {
+	d := r.Deployment
+	r.domain = d.Domains[0]
+	span := r.span()
+	if !pauseUntil(ctx, r.clients.began.Add(span*takeOutPercent/100)) {
+		return nil
+	}
+	client := r.clients.client(1, operatorSecret)
+	err := r.operate(ctx, func() error {
+		_, err := client.TakeOut(ctx, d.Firm, d.Place, r.domain, "demo: maintenance")
+		return err
+	})
+	if err != nil {
+		return fmt.Errorf("take out %s: %w", r.domain, err)
+	}
+	r.takeOut.accepted = time.Since(r.clients.began)
+	r.say("failure domain %s is taken out", r.domain)
+	if !pauseUntil(ctx, r.clients.began.Add(span*returnPercent/100)) {
+		return nil
+	}
+	// From here on starts are allowed again, at the latest when the reply comes.
+	r.takeOut.returned = time.Since(r.clients.began)
+	err = r.operate(ctx, func() error {
+		_, err := client.BringBack(ctx, d.Firm, d.Place, r.domain, "demo: maintenance is over")
+		return err
+	})
+	if err != nil {
+		return fmt.Errorf("bring back %s: %w", r.domain, err)
+	}
+	r.say("failure domain %s is back", r.domain)
+	r.takeOut.done = true
+	return nil
+}
+
+// operate repeats an operator's call until it succeeds; a store outage delays it.
+func (r *Runner) operate(ctx context.Context, call func() error) error {
+	ctx, cancel := context.WithTimeout(ctx, patience)
+	defer cancel()
+	for {
+		err := call()
+		if err == nil || !pause(ctx, retryPause) {
+			return err
+		}
+	}
+}
+
+// slots returns the slots with the times in which they were not allowed to start.
+func (r *Runner) slots() []scorer.Slot {
+	var slots []scorer.Slot
+	for i := range r.Deployment.Endpoints {
+		slot := scorer.Slot{Speed: r.Deployment.speed(i)}
+		if r.takeOut.done && r.Deployment.domain(i) == r.domain {
+			slot.Closed = []scorer.Window{{From: r.takeOut.accepted, To: r.takeOut.returned}}
+		}
+		for range r.Deployment.Slots {
+			slots = append(slots, slot)
+		}
+	}
+	return slots
+}
+
+func (r *Runner) say(format string, arguments ...any) {
+	if r.Progress != nil {
+		fmt.Fprintf(r.Progress, "%6.1fs  %s\n", time.Since(r.clients.began).Seconds(), fmt.Sprintf(format, arguments...))
+	}
+}
+
+const progressInterval = time.Second
+
+func (r *Runner) showProgress(done <-chan struct{}) {
+	ticker := time.NewTicker(progressInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-done:
+			return
+		case <-ticker.C:
+			r.showLine()
+		}
+	}
+}
+
+func (r *Runner) showLine() {
+	r.clients.mu.Lock()
+	answered := len(r.clients.results)
+	complete := 0
+	for _, got := range r.clients.results {
+		if got.answered && got.outcome.Status == string(messenger.OutcomeComplete) {
+			complete++
+		}
+	}
+	r.clients.mu.Unlock()
+	waiting, sent := 0, 0
+	for _, e := range r.cluster.entries {
+		if view := e.entry.Snapshot(); view != nil && !e.isolation.dead.Load() {
+			waiting += view.WaitingTasks
+			sent += view.SentTasks
+		}
+	}
+	r.say("answered %d of %d jobs, %d complete; tasks: %d waiting, %d at endpoints", answered, len(r.jobs), complete, waiting, sent)
+}
--- /dev/null
+++ b/internal/demo/runner/workload.go
@@ -0,0 +1,100 @@
+package runner
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"github.com/burdockrudder/burdockrudder/internal/demo/scorer"
+)
+
+// The shape of the load: most tasks last 50 ms to 1 s, a few several seconds,
+// and declared run times are wrong by up to 5x.
+const (
+	shortestRun      = 50 * time.Millisecond
+	longestRun       = time.Second
+	straggleShare    = 0.02
+	shortestStraggle = 2 * time.Second
+	longestStraggle  = 5 * time.Second
+	declaredError    = 5.0
+	largestJob       = 20
+	highShare        = 0.15
+	resubmitShare    = 0.05
+)
+
+// plannedTask is one task with its true and its declared run time.
+type plannedTask struct {
+	runTime  time.Duration
+	declared time.Duration
+	echo     string
+}
+
+// plannedJob is one submission of the load.
+type plannedJob struct {
+	id       string
+	arrival  time.Duration
+	high     bool
+	resubmit bool
+	tasks    []plannedTask
+}
+
+// planLoad draws the jobs of a run: Poisson arrivals at a share of the capacity.
+func planLoad(d Deployment, seed uint64, count int, load float64) []plannedJob {
+	random := rand.New(rand.NewPCG(seed, uint64(count)))
+	jobs := make([]plannedJob, count)
+	work := 0.0
+	for i := range jobs {
+		jobs[i] = planJob(random, fmt.Sprintf("job-%d-%04d", seed, i))
+		for _, task := range jobs[i].tasks {
+			work += task.runTime.Seconds()
+		}
+	}
+	rate := load * d.capacity() / (work / float64(count))
+	at := 0.0
+	for i := range jobs {
+		at += random.ExpFloat64() / rate
+		jobs[i].arrival = time.Duration(at * float64(time.Second))
+	}
+	return jobs
+}
+
+func planJob(random *rand.Rand, id string) plannedJob {
+	job := plannedJob{
+		id:       id,
+		high:     random.Float64() < highShare,
+		resubmit: random.Float64() < resubmitShare,
+	}
+	for i := range 1 + random.IntN(largestJob) {
+		runTime := between(random, shortestRun, longestRun)
+		if random.Float64() < straggleShare {
+			runTime = between(random, shortestStraggle, longestStraggle)
+		}
+		wrong := math.Pow(declaredError, 2*random.Float64()-1)
+		job.tasks = append(job.tasks, plannedTask{
+			runTime:  runTime,
+			declared: time.Duration(float64(runTime) * wrong).Round(time.Millisecond),
+			echo:     fmt.Sprintf("%s#%d", id, i),
+		})
+	}
+	return job
+}
+
+func between(random *rand.Rand, low, high time.Duration) time.Duration {
+	return (low + time.Duration(random.Int64N(int64(high-low)))).Round(time.Millisecond)
+}
+
+// scorerJobs returns the load as the scorer takes it.
+func scorerJobs(jobs []plannedJob) []scorer.Job {
+	converted := make([]scorer.Job, len(jobs))
+	for i, job := range jobs {
+		converted[i] = scorer.Job{ID: job.id, Arrival: job.arrival}
+		if job.high {
+			converted[i].Priority = 1
+		}
+		for _, task := range job.tasks {
+			converted[i].Tasks = append(converted[i].Tasks, scorer.Task{RunTime: task.runTime})
+		}
+	}
+	return converted
+}
--- a/internal/dispatch/coordinator/lease.go
+++ b/internal/dispatch/coordinator/lease.go
@@ -12,13 +12,10 @@
 
 // suspend stops all starts until the entry row was read anew.
 func (s *State) suspend() {
-	if s.unproved || !s.mayDispatch() {
-		return
+	if step(s.lifeCycle, eventSuspend) {
+		s.renewPending = false
+		s.renew()
 	}
-	s.unproved = true
-	step(s.lifeCycle, eventSuspend)
-	s.renewPending = false
-	s.renew()
 }
 
 // renewRetry is the wait after a failed renewal of an entry that may not start
@@ -27,7 +24,7 @@
 
 func (s *State) renewTick() {
 	interval := s.Config.RenewInterval
-	if s.lifeCycle.Is(entryStarting) || s.unproved {
+	if s.lifeCycle.Is(entryStarting) || s.lifeCycle.Is(entrySuspended) {
 		interval = renewRetry
 	}
 	if !s.renewPending && s.now.Sub(s.renewSentAt) >= interval {
@@ -56,7 +53,6 @@
 		s.exit("this incarnation was replaced")
 		return
 	}
-	s.unproved = false
 	s.renewedAt = s.now
 	s.directory = e.Directory
 	s.noteRows()
--- a/internal/dispatch/coordinator/state.go
+++ b/internal/dispatch/coordinator/state.go
@@ -32,11 +32,8 @@
 	renewSentAt  time.Time
 	renewedAt    time.Time
 	renewPending bool
-	// unproved is true from a suspension until the entry row was read anew, also
-	// while the entry drains.
-	unproved  bool
-	directory []EntryRow
-	rowSeen   map[string]rowSight
+	directory    []EntryRow
+	rowSeen      map[string]rowSight
 
 	agents   map[string]*agent
 	sorted   []*agent
--- a/internal/dispatch/gatekeeper/fences.go
+++ b/internal/dispatch/gatekeeper/fences.go
@@ -29,7 +29,6 @@
 			continue
 		}
 		r.state = messenger.RecordTombstoned
-		r.stoppedByFence = !r.repeatable
 		r.payload = nil
 	}
 	s.queue = kept
@@ -52,7 +51,6 @@
 		if r.owner == owner {
 			records = append(records, messenger.Record{
 				Task: r.task, Attempt: r.attempt, State: r.state, Outcome: r.outcome,
-				StoppedByFence: r.stoppedByFence,
 			})
 		}
 	}
