--- a/internal/dispatch/coordinator/conclude.go
+++ b/internal/dispatch/coordinator/conclude.go
@@ -82,6 +82,11 @@
 	case messenger.RecordFinished:
 		return record.Outcome
 	case messenger.RecordTombstoned:
+		if !record.StoppedByFence {
+			return messenger.TaskOutcome{
+				State: messenger.TaskMayHaveRun, Reason: "the owner may have placed the refused task elsewhere",
+			}
+		}
 		return messenger.TaskOutcome{
 			State: messenger.TaskNotRun, Reason: "the agent never starts it; the owner was lost",
 		}
--- a/internal/dispatch/coordinator/drain.go
+++ b/internal/dispatch/coordinator/drain.go
@@ -35,13 +35,18 @@
 			return true
 		}
 	}
+	for _, c := range s.calls {
+		if c.cancel != nil && !c.cancel.answered {
+			return true
+		}
+	}
 	return len(s.lookups) > 0
 }
 
 // endDrain stops what did not end in time: waiting tasks never run, sent tasks
 // are asked back, and waiters for other owners are told that nothing is known.
 func (s *State) endDrain() {
-	for _, j := range s.jobsWithPrefix(messenger.SubmissionKey{}) {
+	for _, j := range s.sortedJobs(func(messenger.SubmissionKey) bool { return true }) {
 		if j.lifeCycle.Is(jobRunning) && j.stopReason == "" {
 			s.stop(j, "the entry stops")
 			s.cancelSent(j)
--- a/internal/dispatch/coordinator/job.go
+++ b/internal/dispatch/coordinator/job.go
@@ -31,8 +31,9 @@
 	outcome    messenger.Outcome
 	settlingAt time.Time
 	settledAt  time.Time
-	witnesses  []messenger.Incarnation
-	accepted   int
+	// witnesses were asked to keep the outcome; accepted of them do.
+	witnesses []messenger.Incarnation
+	accepted  []messenger.Incarnation
 	// told is true once the waiters have been answered.
 	told bool
 }
@@ -55,6 +56,8 @@
 	copies  []copySent
 	class   *class
 	outcome messenger.TaskOutcome
+	// earlier is how the last attempt ended that ran or may have run.
+	earlier messenger.TaskOutcome
 	hedged  bool
 }
 
@@ -71,6 +74,15 @@
 	return messenger.TaskKey{Submission: t.job.submission.Key, Index: t.index}
 }
 
+// unstarted is the outcome of a task whose last attempt did not start. An
+// earlier attempt of a repeatable task may have run; then that is the outcome.
+func (t *task) unstarted(reason string) messenger.TaskOutcome {
+	if t.earlier.State != "" {
+		return t.earlier
+	}
+	return messenger.TaskOutcome{State: messenger.TaskNotRun, Reason: reason}
+}
+
 func (t *task) copyOf(attempt int) int {
 	for i := range t.copies {
 		if t.copies[i].attempt == attempt {
--- a/internal/dispatch/coordinator/results.go
+++ b/internal/dispatch/coordinator/results.go
@@ -27,14 +27,17 @@
 	if !taken || t.phase == taskDone {
 		return
 	}
-	if m.Outcome.State == messenger.TaskSucceeded || !s.retry(t) {
+	if m.Outcome.State == messenger.TaskSucceeded || !s.retry(t, m.Outcome) {
 		s.finishTask(t, m.Outcome)
 	}
 }
 
 // retry places a repeatable task again after a failed attempt. It returns true
 // if the task is not to be finished now.
-func (s *State) retry(t *task) bool {
+func (s *State) retry(t *task, failed messenger.TaskOutcome) bool {
+	if failed.State != messenger.TaskNotRun {
+		t.earlier = failed
+	}
 	if !t.job.submission.Repeatable || t.job.stopReason != "" {
 		return false
 	}
@@ -78,7 +81,7 @@
 		return
 	}
 	if t.job.stopReason != "" {
-		s.finishTask(t, messenger.TaskOutcome{State: messenger.TaskNotRun, Reason: t.job.stopReason})
+		s.finishTask(t, t.unstarted(t.job.stopReason))
 		return
 	}
 	t.attempt++
@@ -104,13 +107,14 @@
 
 // inDoubt ends a task that nobody can prove not to have started.
 func (s *State) inDoubt(t *task, reason string) {
-	if s.retry(t) {
+	outcome := messenger.TaskOutcome{State: messenger.TaskMayHaveRun, Reason: reason}
+	if s.retry(t, outcome) {
 		return
 	}
 	s.emit(Decision{
 		Kind: DecisionGiveUp, Submission: t.job.submission.Key, Task: t.index, Attempt: t.attempt, Reason: reason,
 	})
-	s.finishTask(t, messenger.TaskOutcome{State: messenger.TaskMayHaveRun, Reason: reason})
+	s.finishTask(t, outcome)
 }
 
 // finishTask gives a task its final state. The first failure stops the job: it
@@ -140,7 +144,7 @@
 	for i := range j.tasks {
 		t := &j.tasks[i]
 		if t.phase == taskWaiting {
-			s.finishTask(t, messenger.TaskOutcome{State: messenger.TaskNotRun, Reason: reason})
+			s.finishTask(t, t.unstarted(reason))
 		}
 	}
 }
--- a/internal/dispatch/coordinator/script_verbs_test.go
+++ b/internal/dispatch/coordinator/script_verbs_test.go
@@ -178,7 +178,8 @@
 	}}
 }
 
-// fenced reads records as task:attempt:state[:outcome], separated by commas.
+// fenced reads records as task:attempt:state[:outcome or by_fence], separated by
+// commas.
 func (d *desk) fenced(step scripter.Step) messenger.Fenced {
 	m := messenger.Fenced{Owner: messenger.Incarnation(step.Text("owner", "e2")), Last: !step.Has("more")}
 	for _, text := range strings.FieldsFunc(step.Text("records", ""), isComma) {
@@ -219,6 +220,10 @@
 
 func scriptRecord(t messenger.TaskKey, attempt int, state, outcome string) messenger.Record {
 	r := messenger.Record{Task: t, Attempt: attempt, State: messenger.RecordState(state)}
+	if outcome == "by_fence" {
+		r.StoppedByFence = true
+		return r
+	}
 	if outcome != "" {
 		r.Outcome = messenger.TaskOutcome{State: messenger.TaskState(outcome), Result: []byte("ok")}
 	}
--- a/internal/dispatch/coordinator/takeover.go
+++ b/internal/dispatch/coordinator/takeover.go
@@ -258,6 +258,9 @@
 	case messenger.RecordQueued:
 		return 1
 	case messenger.RecordTombstoned:
+		if r.StoppedByFence {
+			return 1
+		}
 	}
 	return 0
 }
--- a/internal/dispatch/gatekeeper/fences.go
+++ b/internal/dispatch/gatekeeper/fences.go
@@ -29,6 +29,7 @@
 			continue
 		}
 		r.state = messenger.RecordTombstoned
+		r.stoppedByFence = !r.repeatable
 		r.payload = nil
 	}
 	s.queue = kept
@@ -51,6 +52,7 @@
 		if r.owner == owner {
 			records = append(records, messenger.Record{
 				Task: r.task, Attempt: r.attempt, State: r.state, Outcome: r.outcome,
+				StoppedByFence: r.stoppedByFence,
 			})
 		}
 	}
--- a/internal/dispatch/gatekeeper/script_test.go
+++ b/internal/dispatch/gatekeeper/script_test.go
@@ -212,7 +212,11 @@
 	case messenger.Fenced:
 		text := fmt.Sprintf("fenced %s last=%t", m.Owner, m.Last)
 		for _, r := range m.Records {
-			text += fmt.Sprintf(" [%s %s%s]", short(r.Task, r.Attempt), r.State, renderOutcome(r.Outcome))
+			text += fmt.Sprintf(" [%s %s%s", short(r.Task, r.Attempt), r.State, renderOutcome(r.Outcome))
+			if r.StoppedByFence {
+				text += " by_fence"
+			}
+			text += "]"
 		}
 		for _, w := range m.Witnessed {
 			text += fmt.Sprintf(" witnessed=%s", w.Key.ID)
--- a/internal/dispatch/gatekeeper/starts.go
+++ b/internal/dispatch/gatekeeper/starts.go
@@ -120,6 +120,7 @@
 func (s *State) refuseForGood(to messenger.Incarnation, m messenger.Start, reason messenger.RefusalReason) {
 	r := s.newRecord(m)
 	r.state = messenger.RecordTombstoned
+	r.stoppedByFence = s.fenced[r.owner] != nil && !r.repeatable
 	r.payload = nil
 	s.refuse(to, m, reason, true)
 }
@@ -195,6 +196,7 @@
 
 func (s *State) returnRecord(r *record, reason messenger.RefusalReason) {
 	r.state = messenger.RecordTombstoned
+	r.stoppedByFence = s.fenced[r.owner] != nil && !r.repeatable
 	r.payload = nil
 	s.emit(Decision{Task: r.task, Attempt: r.attempt, Owner: r.owner, Reason: reason})
 	for _, to := range s.listeners(r) {
--- a/internal/dispatch/gatekeeper/state.go
+++ b/internal/dispatch/gatekeeper/state.go
@@ -76,6 +76,9 @@
 	outcome    messenger.TaskOutcome
 	runTime    time.Duration
 	keepUntil  time.Time
+	// stoppedByFence is true of a tombstone of the present attempt that the fence
+	// of its owner left.
+	stoppedByFence bool
 }
 
 type expiry struct {
--- a/internal/dispatch/messenger/messages.go
+++ b/internal/dispatch/messenger/messages.go
@@ -139,6 +139,10 @@
 	Attempt int         `json:"attempt"`
 	State   RecordState `json:"state"`
 	Outcome TaskOutcome `json:"outcome"`
+	// StoppedByFence is true of a tombstone that the fence of the owner left. It
+	// proves that the task never starts. The owner may have placed the task
+	// elsewhere after any other tombstone.
+	StoppedByFence bool `json:"stopped_by_fence,omitempty"`
 }
 
 // Fenced answers a fence. Last is false on all but the last of several parts.
