--- a/internal/daemon/launcher/metrics.go
+++ b/internal/daemon/launcher/metrics.go
@@ -30,6 +30,9 @@
 		Tags:           map[string]string{"role": role, "name": name},
 		CachedReporter: reporter,
 		Separator:      promreporter.DefaultSeparator,
+		// Without it, tally's own metric names are not valid and it panics.
+		SanitizeOptions:        sanitizer(),
+		OmitCardinalityMetrics: true,
 	}, metricsInterval)
 	return &Metrics{
 		Scope:   scope,
@@ -42,3 +45,14 @@
 func (m *Metrics) Close() {
 	_ = m.closer.Close()
 }
+
+// sanitizer keeps names valid, and tag values as they are: process names have
+// hyphens, and sanitized ones would not match the logs.
+func sanitizer() *tally.SanitizeOptions {
+	options := promreporter.DefaultSanitizerOpts
+	options.ValueCharacters = tally.ValidCharacters{
+		Ranges:     tally.AlphanumericRange,
+		Characters: []rune{'_', '-', '.', '~'},
+	}
+	return &options
+}
--- /dev/null
+++ b/internal/daemon/launcher/metrics_test.go
@@ -0,0 +1,27 @@
+package launcher
+
+import (
+	"net/http/httptest"
+	"strings"
+	"testing"
+)
+
+// Guards against metric names that the reporter refuses: the daemons panicked at
+// their start.
+func TestMetricsAreServed(t *testing.T) {
+	metrics := NewMetrics("entry", "entry-1")
+	metrics.Scope.Tagged(map[string]string{"kind": "place"}).Counter("decisions").Inc(3)
+	metrics.Scope.Gauge("waiting_tasks").Update(2)
+	// Closing reports once more, so that no report has to be waited for.
+	metrics.Close()
+	response := httptest.NewRecorder()
+	metrics.Handler.ServeHTTP(response, httptest.NewRequest("GET", "/metrics", nil))
+	for _, want := range []string{
+		`burdockrudder_decisions{kind="place",name="entry-1",role="entry"} 3`,
+		`burdockrudder_waiting_tasks{name="entry-1",role="entry"} 2`,
+	} {
+		if !strings.Contains(response.Body.String(), want) {
+			t.Errorf("%q is missing from:\n%s", want, response.Body)
+		}
+	}
+}
