--- /dev/null
+++ b/internal/demo/runner/runner_test.go
@@ -0,0 +1,104 @@
+package runner
+
+import (
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+	"go.uber.org/zap"
+)
+
+func testRunner(t *testing.T, deployment string, fault Fault, takeOut bool) *Runner {
+	t.Helper()
+	d, err := FindDeployment(deployment)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return &Runner{
+		Deployment: d, Seed: 3, Jobs: 15, Load: 0.7, Fault: fault, TakeOut: takeOut, Logger: zap.NewNop(),
+	}
+}
+
+// Guards against goroutines that outlive a graceful stop of all processes. It
+// stands first: daemons that other tests kill linger until the process ends.
+func TestGracefulStopLeavesNoGoroutine(t *testing.T) {
+	ignore := goleak.IgnoreCurrent()
+	r := testRunner(t, "lamis", FaultNone, false)
+	r.Jobs = 3
+	if _, err := r.Run(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	r.clients.http.CloseIdleConnections()
+	goleak.VerifyNone(t, ignore)
+}
+
+// Guards against parts that work alone and not together: the whole path over
+// real sockets, with each kind of crash. Only invariants are checked, no times.
+func TestWholePathKeepsTheInvariants(t *testing.T) {
+	for _, test := range []struct {
+		deployment string
+		fault      Fault
+		takeOut    bool
+	}{
+		{"lamis", FaultNone, true},
+		{"apfm", FaultEntryCrash, false},
+		{"lamis", FaultAgentCrash, false},
+		{"apfm", FaultStoreLostReply, true},
+		{"lamis", FaultSilentConnection, false},
+	} {
+		t.Run(test.deployment+"/"+string(test.fault), func(t *testing.T) {
+			t.Parallel()
+			r := testRunner(t, test.deployment, test.fault, test.takeOut)
+			report, err := r.Run(t.Context())
+			if err != nil {
+				t.Fatal(err)
+			}
+			for _, broken := range report.Broken() {
+				t.Errorf("seed %d: %s", r.Seed, broken)
+			}
+			if test.fault == FaultNone && report.Complete != report.Jobs {
+				t.Errorf("seed %d: %d of %d jobs complete without a fault", r.Seed, report.Complete, report.Jobs)
+			}
+		})
+	}
+}
+
+// Guards against a report that hides a broken invariant.
+func TestBrokenNamesEachInvariant(t *testing.T) {
+	sound := Report{Jobs: 1, Complete: 1, TaskStarts: 1}
+	if broken := sound.Broken(); len(broken) > 0 {
+		t.Errorf("got %q for a sound run", broken)
+	}
+	for name, report := range map[string]Report{
+		"double start":         {DoubleStarts: 1},
+		"start after take-out": {StartsAfterTakeOut: 1},
+		"wrong answer":         {WrongAnswers: 1},
+		"untrue not_run":       {UntrueNotRun: 1},
+		"slot violation":       {SlotViolations: 1},
+		"unanswered":           {Unanswered: 1},
+	} {
+		if len(report.Broken()) != 1 {
+			t.Errorf("%s: got %q", name, report.Broken())
+		}
+	}
+}
+
+// Guards against a load that offers another share of the capacity than asked for.
+func TestPlannedLoadMatchesTheShare(t *testing.T) {
+	d, err := FindDeployment("apfm")
+	if err != nil {
+		t.Fatal(err)
+	}
+	const share = 0.6
+	jobs := planLoad(d, 1, 2000, share)
+	var work time.Duration
+	for _, job := range scorerJobs(jobs) {
+		for _, task := range job.Tasks {
+			work += task.RunTime
+		}
+	}
+	offered := work.Seconds() / jobs[len(jobs)-1].arrival.Seconds() / d.capacity()
+	if offered < share*0.9 || offered > share*1.1 {
+		t.Errorf("offered %.3f of the capacity, want %.3f", offered, share)
+	}
+}
