Start nothing unproved while an entry drains

The suspension after a stall is a state of the entry's life cycle, and draining is another. A draining entry that was paused past its lease was not suspended, and a drain ended a suspension, so the entry started tasks before it had read its row. The agents' fences stopped such starts where they had arrived.

Before: starts without proof.

--- a/internal/dispatch/coordinator/dispatch.go
+++ b/internal/dispatch/coordinator/dispatch.go
@@ -75,7 +75,7 @@
 
 // mayDispatch is false while this entry has not proved that it was not replaced.
 func (s *State) mayDispatch() bool {
-	return s.lifeCycle.Is(entryActive) || s.lifeCycle.Is(entryDraining)
+	return !s.unproved && (s.lifeCycle.Is(entryActive) || s.lifeCycle.Is(entryDraining))
 }
 
 // dispatch sends waiting tasks while slots are thought to be free. The classes
--- a/internal/dispatch/coordinator/lease.go
+++ b/internal/dispatch/coordinator/lease.go
@@ -12,10 +12,13 @@
 
 // suspend stops all starts until the entry row was read anew.
 func (s *State) suspend() {
-	if step(s.lifeCycle, eventSuspend) {
-		s.renewPending = false
-		s.renew()
+	if s.unproved || !s.mayDispatch() {
+		return
 	}
+	s.unproved = true
+	step(s.lifeCycle, eventSuspend)
+	s.renewPending = false
+	s.renew()
 }
 
 // renewRetry is the wait after a failed renewal of an entry that may not start
@@ -24,7 +27,7 @@
 
 func (s *State) renewTick() {
 	interval := s.Config.RenewInterval
-	if s.lifeCycle.Is(entryStarting) || s.lifeCycle.Is(entrySuspended) {
+	if s.lifeCycle.Is(entryStarting) || s.unproved {
 		interval = renewRetry
 	}
 	if !s.renewPending && s.now.Sub(s.renewSentAt) >= interval {
@@ -53,6 +56,7 @@
 		s.exit("this incarnation was replaced")
 		return
 	}
+	s.unproved = false
 	s.renewedAt = s.now
 	s.directory = e.Directory
 	s.noteRows()
--- a/internal/dispatch/coordinator/state.go
+++ b/internal/dispatch/coordinator/state.go
@@ -32,8 +32,11 @@
 	renewSentAt  time.Time
 	renewedAt    time.Time
 	renewPending bool
-	directory    []EntryRow
-	rowSeen      map[string]rowSight
+	// unproved is true from a suspension until the entry row was read anew, also
+	// while the entry drains.
+	unproved  bool
+	directory []EntryRow
+	rowSeen   map[string]rowSight
 
 	agents   map[string]*agent
 	sorted   []*agent
