Count each witness of an outcome once

The owner counted the answers of witnesses, not the witnesses. A repeated answer made one agent count as two, and an agent that was gone still counted, so a caller could be told an outcome that only one agent kept. A witness that was asked over a failed link was never asked again while its agent lived.

Before: told after two answers. After: told when two present agents keep it, and a new link repeats the question. witnesses.txtar and witness_lost.txtar cover it.

--- a/internal/dispatch/coordinator/job.go
+++ b/internal/dispatch/coordinator/job.go
@@ -31,8 +31,9 @@
 	outcome    messenger.Outcome
 	settlingAt time.Time
 	settledAt  time.Time
-	witnesses  []messenger.Incarnation
-	accepted   int
+	// witnesses were asked to keep the outcome; accepted of them do.
+	witnesses []messenger.Incarnation
+	accepted  []messenger.Incarnation
 	// told is true once the waiters have been answered.
 	told bool
 }
--- a/internal/dispatch/coordinator/members.go
+++ b/internal/dispatch/coordinator/members.go
@@ -103,6 +103,7 @@
 		t := a.sent[key]
 		s.send(a.incarnation, s.startMessage(t, key.attempt, a))
 	}
+	s.askWitnessAgain(a)
 	for _, t := range s.sortedTakeovers() {
 		if t.awaiting[a.incarnation] {
 			s.send(a.incarnation, messenger.Fence{Owner: t.owner})
@@ -125,9 +126,7 @@
 	delete(s.agents, a.name)
 	delete(s.agentOf, a.incarnation)
 	s.sorted = slices.DeleteFunc(s.sorted, func(x *agent) bool { return x == a })
-	for _, j := range s.settling {
-		j.witnesses = slices.DeleteFunc(j.witnesses, func(x messenger.Incarnation) bool { return x == a.incarnation })
-	}
+	s.witnessLost(a.incarnation)
 	for _, t := range s.sortedTakeovers() {
 		s.agentLost(t, a.incarnation)
 	}
--- a/internal/dispatch/coordinator/settle.go
+++ b/internal/dispatch/coordinator/settle.go
@@ -131,8 +131,30 @@
 	}
 	for _, a := range s.chooseWitnesses(j) {
 		j.witnesses = append(j.witnesses, a.incarnation)
-		s.counters.WitnessCalls++
-		s.send(a.incarnation, messenger.Witness{Owner: s.Config.Incarnation, Outcome: j.outcome})
+		s.askWitness(j, a)
+	}
+}
+
+func (s *State) askWitness(j *job, a *agent) {
+	s.counters.WitnessCalls++
+	s.send(a.incarnation, messenger.Witness{Owner: s.Config.Incarnation, Outcome: j.outcome})
+}
+
+// askWitnessAgain repeats what was asked over a link that has failed.
+func (s *State) askWitnessAgain(a *agent) {
+	for _, j := range s.settling {
+		if !j.told && slices.Contains(j.witnesses, a.incarnation) && !slices.Contains(j.accepted, a.incarnation) {
+			s.askWitness(j, a)
+		}
+	}
+}
+
+// witnessLost forgets a witness that is gone with what it kept.
+func (s *State) witnessLost(incarnation messenger.Incarnation) {
+	is := func(x messenger.Incarnation) bool { return x == incarnation }
+	for _, j := range s.settling {
+		j.witnesses = slices.DeleteFunc(j.witnesses, is)
+		j.accepted = slices.DeleteFunc(j.accepted, is)
 	}
 }
 
@@ -172,8 +194,10 @@
 		s.suspend()
 		return
 	}
-	j.accepted++
-	if j.accepted >= witnessCount {
+	if !slices.Contains(j.accepted, from) {
+		j.accepted = append(j.accepted, from)
+	}
+	if len(j.accepted) >= witnessCount {
 		s.tell(j)
 	}
 }
