Answer pending cancels before a graceful stop ends

A cancel that waits for other entries did not keep a draining entry from ending, so its caller got no answer.

--- a/internal/dispatch/coordinator/drain.go
+++ b/internal/dispatch/coordinator/drain.go
@@ -35,6 +35,11 @@
 			return true
 		}
 	}
+	for _, c := range s.calls {
+		if c.cancel != nil && !c.cancel.answered {
+			return true
+		}
+	}
 	return len(s.lookups) > 0
 }
 
