End a graceful stop when its patience is over

The stop looked up the jobs to end by an empty key, and the lookup compares firm and service, so it matched none. Tasks that waited for a slot kept the entry until the deadline of their job, up to 5 min instead of 20 s.

Before: no job was stopped. After: waiting tasks become not_run and sent tasks are asked back. graceful_stop_patience.txtar covers it.

--- a/internal/dispatch/coordinator/cancel.go
+++ b/internal/dispatch/coordinator/cancel.go
@@ -49,9 +49,16 @@
 }
 
 func (s *State) jobsWithPrefix(key messenger.SubmissionKey) []*job {
+	return s.sortedJobs(func(k messenger.SubmissionKey) bool {
+		return k.Firm == key.Firm && k.Service == key.Service && strings.HasPrefix(k.ID, key.ID)
+	})
+}
+
+// sortedJobs returns the jobs whose key matches, in the order of arrival.
+func (s *State) sortedJobs(match func(messenger.SubmissionKey) bool) []*job {
 	var matching []*job
 	for k, j := range s.jobs {
-		if k.Firm == key.Firm && k.Service == key.Service && strings.HasPrefix(k.ID, key.ID) {
+		if match(k) {
 			matching = append(matching, j)
 		}
 	}
--- a/internal/dispatch/coordinator/drain.go
+++ b/internal/dispatch/coordinator/drain.go
@@ -46,7 +46,7 @@
 // endDrain stops what did not end in time: waiting tasks never run, sent tasks
 // are asked back, and waiters for other owners are told that nothing is known.
 func (s *State) endDrain() {
-	for _, j := range s.jobsWithPrefix(messenger.SubmissionKey{}) {
+	for _, j := range s.sortedJobs(func(messenger.SubmissionKey) bool { return true }) {
 		if j.lifeCycle.Is(jobRunning) && j.stopReason == "" {
 			s.stop(j, "the entry stops")
 			s.cancelSent(j)
