Run the driver by fault scripts

The driver gains late, repeated and one-way lost messages, a slow table, cut regions, a lost failure domain and racing operators. Every run also checks that no process has settings in force 4 s after a newer version was accepted, or goes back. Entries and agents sit behind interfaces, so that tests can wrap them and plant faults.

--- a/internal/proof/driver/agents.go
+++ b/internal/proof/driver/agents.go
@@ -28,16 +28,25 @@
 	name        string
 	domain      string
 	incarnation messenger.Incarnation
-	state       *gatekeeper.State
-	dead        bool
-	drained     bool
-	broken      bool
+	state       AgentDecider
+	// startedAt is when the endpoint last started a task.
+	startedAt time.Time
+	dead      bool
+	drained   bool
+	broken    bool
 }
 
 func (w *World) startAgent(name, domain string) {
 	node := &agentNode{world: w, name: name, domain: domain, incarnation: w.newIncarnation(name)}
 	node.state = &gatekeeper.State{Name: name, Incarnation: node.incarnation}
+	if w.NewAgent != nil {
+		node.state = w.NewAgent(name, node.state)
+	}
 	w.agents[name] = node
+	w.names[node.incarnation] = name
+	w.handlers[node.incarnation] = func(sender messenger.Incarnation, m messenger.Message) {
+		node.handle(gatekeeper.Received{From: sender, Message: m})
+	}
 	w.tickAgent(node)
 	w.announce(node)
 	w.linkAll()
@@ -79,6 +88,7 @@
 	w := n.world
 	switch e := effect.(type) {
 	case gatekeeper.Send:
+		w.readAgent(n, e.Message)
 		w.deliver(n.name, n.incarnation, e.To, e.Message)
 	case gatekeeper.Invoke:
 		w.invoke(n, e)
@@ -93,6 +103,7 @@
 	w.Starts = append(w.Starts, EndpointStart{
 		Task: e.Task, Attempt: e.Attempt, Agent: n.name, FailureDomain: n.domain, At: w.Elapsed(),
 	})
+	n.startedAt = w.now
 	var payload Payload
 	if err := json.Unmarshal(e.Payload, &payload); err != nil {
 		panic(err)
--- a/internal/proof/driver/driver.go
+++ b/internal/proof/driver/driver.go
@@ -37,6 +37,13 @@
 	Tree resolver.Tree
 	// LoseReplies is the share of table writes whose reply is lost.
 	LoseReplies float64
+	// SlowStore bounds the extra time that a reply of the table takes.
+	SlowStore time.Duration
+	// Network holds the faults of all links.
+	Network Network
+	// NewEntry and NewAgent, if set, wrap the decisions of a process.
+	NewEntry func(name string, state EntryDecider) EntryDecider
+	NewAgent func(name string, state AgentDecider) AgentDecider
 
 	// Starts lists every start that an endpoint has seen.
 	Starts []EndpointStart
@@ -46,6 +53,10 @@
 	Calls []CallerCall
 	// Accepted lists the accepted changes of the settings.
 	Accepted []AcceptedChange
+	// Changes lists all attempts to change the settings.
+	Changes []Change
+	// Reads lists the settings versions that were in force at processes.
+	Reads []SettingsSeen
 	// OnEvent, if set, sees each event before an entry handles it.
 	OnEvent func(entry messenger.Incarnation, now time.Time, event coordinator.Event)
 	// OnEffect, if set, sees each effect of an entry before it is carried out.
@@ -61,6 +72,9 @@
 	lastCall coordinator.CallID
 	table    fakeTable
 	cuts     map[[2]string]bool
+	silent   map[[2]string]bool
+	handlers map[messenger.Incarnation]func(sender messenger.Incarnation, m messenger.Message)
+	names    map[messenger.Incarnation]string
 	restarts int
 }
 
@@ -88,6 +102,23 @@
 	At     time.Duration
 }
 
+// Change is one attempt to change the settings by compare-and-set. The outcome
+// is unknown if neither Accepted nor Conflict is true.
+type Change struct {
+	Entry    string
+	Expected uint64
+	Accepted bool
+	Conflict bool
+	From, To time.Duration
+}
+
+// SettingsSeen is a settings version that was in force at a process.
+type SettingsSeen struct {
+	Process messenger.Incarnation
+	Version uint64
+	At      time.Duration
+}
+
 // AcceptedChange is a change of the settings that was accepted.
 type AcceptedChange struct {
 	Version uint64
@@ -102,6 +133,9 @@
 	w.entries = make(map[string]*entryNode)
 	w.agents = make(map[string]*agentNode)
 	w.cuts = make(map[[2]string]bool)
+	w.silent = make(map[[2]string]bool)
+	w.handlers = make(map[messenger.Incarnation]func(messenger.Incarnation, messenger.Message))
+	w.names = make(map[messenger.Incarnation]string)
 	w.table = newFakeTable(w.Tree)
 	for i := range w.Entries {
 		w.startEntry(fmt.Sprintf("entry-%d", i+1))
--- a/internal/proof/driver/entries.go
+++ b/internal/proof/driver/entries.go
@@ -15,9 +15,11 @@
 	world       *World
 	name        string
 	incarnation messenger.Incarnation
-	state       *coordinator.State
+	state       EntryDecider
 	dead        bool
 	exited      bool
+	// drainedAt is when a graceful stop was complete.
+	drainedAt   time.Time
 	pausedUntil time.Time
 }
 
@@ -32,7 +34,14 @@
 			Random: rand.New(rand.NewPCG(w.Seed, uint64(w.restarts))),
 		},
 	}
+	if w.NewEntry != nil {
+		node.state = w.NewEntry(name, node.state)
+	}
 	w.entries[name] = node
+	w.names[incarnation] = name
+	w.handlers[incarnation] = func(sender messenger.Incarnation, m messenger.Message) {
+		node.handle(coordinator.Received{From: sender, Message: m})
+	}
 	w.tickEntry(node)
 	w.pollSettings(node)
 	w.linkAll()
@@ -53,8 +62,11 @@
 	sentAt := w.now
 	w.after(readLatency, func() {
 		if w.table.reachable(node.name) {
-			tree := w.table.tree
-			node.handle(coordinator.SettingsRead{SentAt: sentAt, Version: w.table.version, Tree: &tree})
+			tree, version := w.table.tree, w.table.version
+			w.reply(func() {
+				node.handle(coordinator.SettingsRead{SentAt: sentAt, Version: version, Tree: &tree})
+				w.readEntry(node)
+			})
 		}
 	})
 	w.push(w.now.Add(settingsPoll), func() { w.pollSettings(node) })
@@ -103,7 +115,10 @@
 		w.renewLease(n, e.Renewal)
 	case coordinator.FenceEntry:
 		w.fenceEntry(n, e.Row)
-	case coordinator.Drained, coordinator.Exit:
+	case coordinator.Drained:
+		n.exited = true
+		n.drainedAt = w.now
+	case coordinator.Exit:
 		n.exited = true
 	case coordinator.Decision:
 	}
@@ -142,33 +157,6 @@
 	})
 }
 
-// deliver carries a message to a process, in order, unless the link is cut when
-// it is sent or when it arrives.
-func (w *World) deliver(from string, sender, to messenger.Incarnation, m messenger.Message) {
-	data, err := messenger.Encode(m)
-	if err != nil {
-		panic(err)
-	}
-	decoded, err := messenger.Decode(data)
-	if err != nil {
-		panic(err)
-	}
-	w.push(w.now.Add(linkDelay), func() { w.arrive(from, sender, to, decoded) })
-}
-
-func (w *World) arrive(from string, sender, to messenger.Incarnation, m messenger.Message) {
-	for _, entry := range w.sortedEntries() {
-		if entry.incarnation == to && !w.cuts[pair(from, entry.name)] {
-			entry.handle(coordinator.Received{From: sender, Message: m})
-		}
-	}
-	for _, agent := range w.sortedAgents() {
-		if agent.incarnation == to && !w.cuts[pair(from, agent.name)] {
-			agent.handle(gatekeeper.Received{From: sender, Message: m})
-		}
-	}
-}
-
 func (w *World) sortedEntries() []*entryNode {
 	nodes := make([]*entryNode, 0, len(w.entries))
 	for _, name := range sortedNames(w.entries) {
--- a/internal/proof/driver/faults.go
+++ b/internal/proof/driver/faults.go
@@ -1,6 +1,7 @@
 package driver
 
 import (
+	"slices"
 	"time"
 
 	"github.com/burdockrudder/burdockrudder/internal/dispatch/coordinator"
@@ -98,6 +99,8 @@
 // Mend ends a cut; the processes link again.
 func (w *World) Mend(a, b string) {
 	delete(w.cuts, pair(a, b))
+	delete(w.silent, [2]string{a, b})
+	delete(w.silent, [2]string{b, a})
 	w.linkAll()
 }
 
@@ -111,28 +114,81 @@
 	w.table.downFor[entry] = down
 }
 
+// Silence drops all messages from one process to another until Mend.
+func (w *World) Silence(from, to string) {
+	w.silent[[2]string{from, to}] = true
+}
+
+// CutOff cuts the named processes off from all others until Rejoin.
+func (w *World) CutOff(names ...string) {
+	for _, name := range names {
+		for _, other := range w.processes() {
+			if !slices.Contains(names, other) {
+				w.cuts[pair(name, other)] = true
+			}
+		}
+	}
+}
+
+// Rejoin ends all cuts and silences; the processes link again.
+func (w *World) Rejoin() {
+	clear(w.cuts)
+	clear(w.silent)
+	w.linkAll()
+}
+
+func (w *World) processes() []string {
+	return append(sortedNames(w.entries), sortedNames(w.agents)...)
+}
+
+// CrashDomain ends all agents of a failure domain.
+func (w *World) CrashDomain(domain string) {
+	for _, agent := range w.sortedAgents() {
+		if agent.domain == domain {
+			agent.dead = true
+		}
+	}
+}
+
 // Change commits settings through an entry. The change counts as accepted once
 // the entry has it in force.
 func (w *World) Change(entry string, change func(resolver.Tree) resolver.Tree) {
+	w.ChangeFrom(entry, w.table.version, change)
+}
+
+// ChangeFrom commits settings if the table still has the expected version.
+func (w *World) ChangeFrom(entry string, expected uint64, change func(resolver.Tree) resolver.Tree) {
 	node := w.entries[entry]
+	attempt := len(w.Changes)
+	w.Changes = append(w.Changes, Change{Entry: entry, Expected: expected, From: w.Elapsed()})
 	w.after(writeLatency, func() {
 		if !w.table.reachable(entry) || node.stopped() {
 			return
 		}
-		tree := change(w.table.tree)
-		w.table.tree = tree
-		w.table.version++
-		version := w.table.version
-		w.after(linkDelay, func() {
-			if node.stopped() {
-				return
-			}
-			node.handle(coordinator.SettingsRead{SentAt: w.now, Version: version, Tree: &tree})
-			w.Accepted = append(w.Accepted, AcceptedChange{Version: version, At: w.Elapsed()})
-		})
+		conflict := w.table.version != expected
+		if !conflict {
+			w.table.tree = change(w.table.tree)
+			w.table.version++
+		}
+		tree, version := w.table.tree, w.table.version
+		w.after(linkDelay, func() { w.changed(node, attempt, conflict, version, &tree) })
 	})
 }
 
+func (w *World) changed(node *entryNode, attempt int, conflict bool, version uint64, tree *resolver.Tree) {
+	if node.stopped() || node.pausedUntil.After(w.now) {
+		return
+	}
+	w.Changes[attempt].To = w.Elapsed()
+	if conflict {
+		w.Changes[attempt].Conflict = true
+		return
+	}
+	node.handle(coordinator.SettingsRead{SentAt: w.now, Version: version, Tree: tree})
+	w.Changes[attempt].Accepted = true
+	w.Accepted = append(w.Accepted, AcceptedChange{Version: version, At: w.Elapsed()})
+}
+
 func pair(a, b string) [2]string {
 	if a > b {
 		a, b = b, a
--- a/internal/proof/driver/invariants.go
+++ b/internal/proof/driver/invariants.go
@@ -12,6 +12,10 @@
 	"github.com/burdockrudder/burdockrudder/internal/dispatch/messenger"
 )
 
+// SettingsBound is the time after acceptance from which a change is in force
+// everywhere.
+const SettingsBound = 4 * time.Second
+
 // TakeOutBound is the time after acceptance from which nothing starts in a
 // failure domain that was taken out.
 const TakeOutBound = 3 * time.Second
@@ -24,6 +28,7 @@
 	found = append(found, w.answerCounts()...)
 	found = append(found, w.outcomes()...)
 	found = append(found, w.untrueNotRun()...)
+	found = append(found, w.oldSettings()...)
 	return found
 }
 
@@ -177,3 +182,24 @@
 	}
 	return count
 }
+
+// oldSettings finds versions that were in force after the bound, and processes
+// whose version went back.
+func (w *World) oldSettings() []string {
+	var found []string
+	last := make(map[messenger.Incarnation]uint64)
+	for _, read := range w.Reads {
+		if read.Version < last[read.Process] {
+			found = append(found, fmt.Sprintf("%s went back from version %d to %d at %s",
+				read.Process, last[read.Process], read.Version, read.At))
+		}
+		last[read.Process] = read.Version
+		for _, change := range w.Accepted {
+			if read.Version < change.Version && read.At > change.At+SettingsBound {
+				found = append(found, fmt.Sprintf("%s had version %d in force at %s; %d was accepted at %s",
+					read.Process, read.Version, read.At, change.Version, change.At))
+			}
+		}
+	}
+	return found
+}
--- /dev/null
+++ b/internal/proof/driver/links.go
@@ -0,0 +1,91 @@
+package driver
+
+import (
+	"time"
+
+	"github.com/burdockrudder/burdockrudder/internal/dispatch/coordinator"
+	"github.com/burdockrudder/burdockrudder/internal/dispatch/gatekeeper"
+	"github.com/burdockrudder/burdockrudder/internal/dispatch/messenger"
+)
+
+// EntryDecider makes the decisions of an entry. Tests wrap it to plant faults.
+type EntryDecider interface {
+	Handle(now time.Time, event coordinator.Event) []coordinator.Effect
+	View() *coordinator.Snapshot
+}
+
+// AgentDecider makes the decisions of an agent. Tests wrap it to plant faults.
+type AgentDecider interface {
+	Handle(now time.Time, event gatekeeper.Event) []gatekeeper.Effect
+}
+
+// Network holds the faults that links add to each message.
+type Network struct {
+	// Duplicate is the share of messages that arrive twice.
+	Duplicate float64
+	// Late is the share of messages that are delayed, and thereby reordered.
+	Late float64
+	// LateBy bounds the delay of late messages and of second copies.
+	LateBy time.Duration
+}
+
+// deliver carries a message to a process, in order unless the network is faulty.
+// A cut counts when the message arrives.
+func (w *World) deliver(from string, sender, to messenger.Incarnation, m messenger.Message) {
+	data, err := messenger.Encode(m)
+	if err != nil {
+		panic(err)
+	}
+	decoded, err := messenger.Decode(data)
+	if err != nil {
+		panic(err)
+	}
+	arrive := func() { w.arrive(from, sender, to, decoded) }
+	w.push(w.now.Add(linkDelay+w.lateness(w.Network.Late)), arrive)
+	if w.chance(w.Network.Duplicate) {
+		w.push(w.now.Add(linkDelay+w.lateness(1)), arrive)
+	}
+}
+
+func (w *World) chance(share float64) bool {
+	return share > 0 && w.random.Float64() < share
+}
+
+func (w *World) lateness(share float64) time.Duration {
+	if w.Network.LateBy == 0 || !w.chance(share) {
+		return 0
+	}
+	return time.Duration(w.random.Int64N(int64(w.Network.LateBy)))
+}
+
+func (w *World) arrive(from string, sender, to messenger.Incarnation, m messenger.Message) {
+	name := w.names[to]
+	if w.cuts[pair(from, name)] || w.silent[[2]string{from, name}] {
+		return
+	}
+	if handler := w.handlers[to]; handler != nil {
+		handler(sender, m)
+	}
+}
+
+// readEntry notes the version in force at an entry that is confirmed; one that
+// is not cannot make an agent start anything.
+func (w *World) readEntry(n *entryNode) {
+	if n.stopped() || n.pausedUntil.After(w.now) {
+		return
+	}
+	view := n.state.View()
+	if w.now.Sub(view.SettingsConfirmedAt) <= 2500*time.Millisecond {
+		w.Reads = append(w.Reads, SettingsSeen{Process: n.incarnation, Version: view.SettingsVersion, At: w.Elapsed()})
+	}
+}
+
+// readAgent notes the version in force at an agent that has lately started a
+// task. An agent that starts nothing has nothing in force.
+func (w *World) readAgent(n *agentNode, m messenger.Message) {
+	report, ok := m.(messenger.Report)
+	if !ok || n.startedAt.IsZero() || w.now.Sub(n.startedAt) > 500*time.Millisecond {
+		return
+	}
+	w.Reads = append(w.Reads, SettingsSeen{Process: n.incarnation, Version: report.SettingsVersion, At: w.Elapsed()})
+}
--- /dev/null
+++ b/internal/proof/driver/script_test.go
@@ -0,0 +1,171 @@
+package driver
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/burdockrudder/burdockrudder/internal/dispatch/coordinator"
+	"github.com/burdockrudder/burdockrudder/internal/dispatch/messenger"
+	"github.com/burdockrudder/burdockrudder/internal/proof/scripter"
+	"github.com/burdockrudder/burdockrudder/internal/settings/resolver"
+)
+
+// Guards against broken invariants under the faults that each script names. The
+// first step of a script is "world"; the others are faults, calls of callers and
+// expectations. The invariants are checked at the end of each run.
+func TestFaultScripts(t *testing.T) {
+	scripter.Each(t, "testdata/*.txtar", func(t *testing.T, script scripter.Script) {
+		t.Log(script.Guards)
+		for seed := range script.Steps[0].Int(t, "seeds", 3) {
+			t.Run(fmt.Sprintf("seed_%d", seed+1), func(t *testing.T) {
+				t.Parallel()
+				t.Logf("seed %d", seed+1)
+				runScript(t, script, uint64(seed+1))
+			})
+		}
+	})
+}
+
+func runScript(t *testing.T, script scripter.Script, seed uint64) {
+	first := script.Steps[0]
+	w := &World{
+		Seed: seed, Entries: first.Int(t, "entries", 3), Agents: first.Int(t, "agents", 11),
+		Slots: first.Int(t, "slots", 8), Domains: domains, Tree: testTree(),
+	}
+	w.Start()
+	for _, step := range script.Steps[1:] {
+		if step.Verb != "expect" {
+			w.At(step.At, func() { apply(t, w, step) })
+		}
+	}
+	for _, step := range script.Steps[1:] {
+		if step.Verb == "expect" {
+			w.Run(step.At)
+			expect(t, w, step)
+		}
+	}
+	for _, violation := range w.Violations() {
+		t.Error(violation)
+	}
+	t.Logf("%d starts, %d calls, %d answers", len(w.Starts), len(w.Calls), len(w.Answers))
+}
+
+func apply(t *testing.T, w *World, step scripter.Step) {
+	if !applyFault(t, w, step) && !applyCall(t, w, step) {
+		t.Fatalf("line %d: unknown verb %s", step.Line, step.Verb)
+	}
+}
+
+func applyFault(t *testing.T, w *World, step scripter.Step) bool {
+	name := step.Word(0)
+	switch step.Verb {
+	case "crash":
+		crash(w, name)
+	case "crash_domain":
+		w.CrashDomain(name)
+	case "restart":
+		restart(w, name)
+	case "pause":
+		w.PauseEntry(name, step.Duration(t, "for", 0))
+	case "drain":
+		drain(w, name)
+	case "cut":
+		w.Cut(name, step.Word(1))
+	case "silence":
+		w.Silence(name, step.Word(1))
+	case "mend":
+		w.Mend(name, step.Word(1))
+	case "cut_off":
+		w.CutOff(step.Words...)
+	case "rejoin":
+		w.Rejoin()
+	case "network":
+		w.Network = Network{
+			Duplicate: step.Float(t, "duplicate", 0), Late: step.Float(t, "late", 0), LateBy: step.Duration(t, "by", 0),
+		}
+	case "store":
+		store(t, w, step)
+	case "endpoint":
+		w.BreakEndpoint(step.Word(1), name == "broken")
+	default:
+		return false
+	}
+	return true
+}
+
+func isEntry(name string) bool { return strings.HasPrefix(name, "entry-") }
+
+func crash(w *World, name string) {
+	if isEntry(name) {
+		w.CrashEntry(name)
+		return
+	}
+	w.CrashAgent(name)
+}
+
+func restart(w *World, name string) {
+	if isEntry(name) {
+		w.RestartEntry(name)
+		return
+	}
+	w.RestartAgent(name)
+}
+
+func drain(w *World, name string) {
+	if isEntry(name) {
+		w.DrainEntry(name)
+		return
+	}
+	w.DrainAgent(name)
+}
+
+// store reads "store down|up [entry...]", and the faults lose= and slow=.
+func store(t *testing.T, w *World, step scripter.Step) {
+	w.LoseReplies = step.Float(t, "lose", w.LoseReplies)
+	w.SlowStore = step.Duration(t, "slow", w.SlowStore)
+	if len(step.Words) == 1 {
+		w.StoreDown(step.Word(0) == "down")
+	}
+	for i := 1; i < len(step.Words); i++ {
+		w.StoreDownFor(step.Words[i], step.Word(0) == "down")
+	}
+}
+
+func applyCall(t *testing.T, w *World, step scripter.Step) bool {
+	entry := step.Word(0)
+	switch step.Verb {
+	case "load":
+		load(t, w, step)
+	case "submit":
+		for i := range step.Int(t, "burst", 1) {
+			w.Submit(entry, scriptSubmission(t, w, step, fmt.Sprintf("%s-%d", step.Word(1), i)))
+		}
+	case "tickets":
+		tickets(t, w, step)
+	case "cancel":
+		w.Call(entry, func(call coordinator.CallID) coordinator.Event {
+			key := messenger.SubmissionKey{Firm: firmName, Service: serviceName, ID: step.Word(1)}
+			return coordinator.CancelRequested{Call: call, Key: key, Prefix: true}
+		})
+	case "settings":
+		w.Change(entry, changeOf(step))
+	case "race":
+		expected := w.table.version
+		for _, racer := range step.Words {
+			w.ChangeFrom(racer, expected, changeOf(step))
+		}
+	default:
+		return false
+	}
+	return true
+}
+
+func changeOf(step scripter.Step) func(resolver.Tree) resolver.Tree {
+	return func(tree resolver.Tree) resolver.Tree {
+		if out := step.Text("out", ""); out != "" {
+			return setState(tree, out, messenger.DomainOut)
+		}
+		return setState(tree, step.Text("in", "sousse"), messenger.DomainIn)
+	}
+}
--- a/internal/proof/driver/table.go
+++ b/internal/proof/driver/table.go
@@ -39,6 +39,16 @@
 	return w.random.Float64() < w.LoseReplies
 }
 
+// reply carries the answer of a table that may be slow: what it says was true
+// when the table was asked, and answers may arrive in another order.
+func (w *World) reply(do func()) {
+	if w.SlowStore == 0 {
+		do()
+		return
+	}
+	w.push(w.now.Add(time.Duration(w.random.Int64N(int64(w.SlowStore)))), do)
+}
+
 func (w *World) commitIntent(n *entryNode, row coordinator.IntentRow, giveUp time.Time) {
 	w.after(writeLatency, func() {
 		if w.table.reachable(n.name) {
@@ -46,7 +56,8 @@
 				w.table.intents[row.Key] = row
 			}
 			if !w.replyLost() {
-				n.handle(w.table.intentSettled(row.Key))
+				settled := w.table.intentSettled(row.Key)
+				w.reply(func() { n.handle(settled) })
 				return
 			}
 		}
@@ -57,7 +68,8 @@
 func (w *World) readIntent(n *entryNode, key messenger.SubmissionKey, giveUp time.Time) {
 	w.after(readLatency, func() {
 		if w.table.reachable(n.name) {
-			n.handle(w.table.intentSettled(key))
+			settled := w.table.intentSettled(key)
+			w.reply(func() { n.handle(settled) })
 			return
 		}
 		w.retryOrFail(n, key, giveUp, func() { w.readIntent(n, key, giveUp) })
@@ -97,7 +109,7 @@
 			}
 			if !w.replyLost() {
 				row := w.table.outcomes[outcome.Key]
-				n.handle(coordinator.OutcomeSettled{Key: outcome.Key, Outcome: &row})
+				w.reply(func() { n.handle(coordinator.OutcomeSettled{Key: outcome.Key, Outcome: &row}) })
 				return
 			}
 		}
@@ -116,7 +128,8 @@
 			n.handle(coordinator.LeaseRenewed{Renewal: renewal, Fenced: true})
 			return
 		}
-		n.handle(coordinator.LeaseRenewed{Renewal: renewal, Directory: w.directory()})
+		directory := w.directory()
+		w.reply(func() { n.handle(coordinator.LeaseRenewed{Renewal: renewal, Directory: directory}) })
 	})
 }
 
@@ -158,6 +171,6 @@
 			present.Fenced = true
 			w.table.entries[row.Name] = present
 		}
-		n.handle(coordinator.EntryFenced{Owner: row.Incarnation})
+		w.reply(func() { n.handle(coordinator.EntryFenced{Owner: row.Incarnation}) })
 	})
 }
