--- /dev/null
+++ b/internal/proof/checker/submission.go
@@ -0,0 +1,189 @@
+package checker
+
+import (
+	"fmt"
+	"maps"
+	"strings"
+
+	"github.com/anishathalye/porcupine"
+
+	"github.com/burdockrudder/burdockrudder/internal/dispatch/coordinator"
+	"github.com/burdockrudder/burdockrudder/internal/dispatch/messenger"
+	"github.com/burdockrudder/burdockrudder/internal/proof/driver"
+)
+
+// taskStart is the input of a start at an endpoint.
+type taskStart struct {
+	task       messenger.TaskKey
+	repeatable bool
+}
+
+// answered is the input of an answer to a caller; the output is the answer.
+type answered struct {
+	key messenger.SubmissionKey
+}
+
+// submissionState is what the history so far says of one submission.
+type submissionState struct {
+	// started has the indexes of the tasks that have started.
+	started map[int]bool
+	// outcome is empty until one was told.
+	outcome string
+	// never has the indexes of the tasks that were told not to have run.
+	never map[int]bool
+}
+
+// CheckSubmissions checks the starts and answers of a run, per submission: a task
+// of a submission that is not repeatable starts at most once, one outcome is
+// told and never changes, and "not run" is true of everything before it. A task
+// that an outcome says has not run never starts.
+func CheckSubmissions(w *driver.World) error {
+	return check(submissionModel(), submissionHistory(w))
+}
+
+func submissionHistory(w *driver.World) []porcupine.Operation {
+	calls := make(map[coordinator.CallID]driver.CallerCall)
+	repeatable := make(map[messenger.SubmissionKey]bool)
+	for _, call := range w.Calls {
+		calls[call.Call] = call
+		if submitted, ok := call.Event.(coordinator.Submitted); ok {
+			repeatable[submitted.Submission.Key] = submitted.Submission.Repeatable
+		}
+	}
+	var operations []porcupine.Operation
+	for _, start := range w.Starts {
+		operations = append(operations, porcupine.Operation{
+			Input: taskStart{task: start.Task, repeatable: repeatable[start.Task.Submission]},
+			Call:  int64(start.At), Return: int64(start.At),
+		})
+	}
+	for _, answer := range w.Answers {
+		key, ok := calledKey(calls[answer.Call])
+		if ok {
+			operations = append(operations, porcupine.Operation{
+				Input: answered{key: key}, Output: answer.Answer,
+				Call: int64(calls[answer.Call].At), Return: int64(answer.At),
+			})
+		}
+	}
+	return operations
+}
+
+func calledKey(call driver.CallerCall) (messenger.SubmissionKey, bool) {
+	switch event := call.Event.(type) {
+	case coordinator.Submitted:
+		return event.Submission.Key, true
+	case coordinator.Queried:
+		return event.Key, true
+	default:
+		return messenger.SubmissionKey{}, false
+	}
+}
+
+func submissionModel() porcupine.Model {
+	return porcupine.Model{
+		Partition: bySubmission,
+		Init:      func() any { return submissionState{} },
+		Step: func(state, input, output any) (bool, any) {
+			s := state.(submissionState)
+			if start, ok := input.(taskStart); ok {
+				return s.start(start)
+			}
+			return s.answer(output.(coordinator.Answer))
+		},
+		Equal: func(a, b any) bool {
+			x, y := a.(submissionState), b.(submissionState)
+			return x.outcome == y.outcome && maps.Equal(x.started, y.started) && maps.Equal(x.never, y.never)
+		},
+		DescribeOperation: func(input, output any) string { return fmt.Sprintf("%+v %+v", input, output) },
+	}
+}
+
+func bySubmission(history []porcupine.Operation) [][]porcupine.Operation {
+	at := make(map[messenger.SubmissionKey]int)
+	var partitions [][]porcupine.Operation
+	for _, op := range history {
+		key := keyOf(op.Input)
+		i, known := at[key]
+		if !known {
+			i = len(partitions)
+			at[key] = i
+			partitions = append(partitions, nil)
+		}
+		partitions[i] = append(partitions[i], op)
+	}
+	return partitions
+}
+
+func keyOf(input any) messenger.SubmissionKey {
+	if start, ok := input.(taskStart); ok {
+		return start.task.Submission
+	}
+	return input.(answered).key
+}
+
+func (s submissionState) start(start taskStart) (bool, any) {
+	index := start.task.Index
+	if s.never[index] || (s.started[index] && !start.repeatable) {
+		return false, s
+	}
+	s.started = with(s.started, index)
+	return true, s
+}
+
+func with(set map[int]bool, index int) map[int]bool {
+	grown := make(map[int]bool, len(set)+1)
+	maps.Copy(grown, set)
+	grown[index] = true
+	return grown
+}
+
+func (s submissionState) answer(answer coordinator.Answer) (bool, any) {
+	switch a := answer.(type) {
+	case coordinator.OutcomeAnswer:
+		return s.tell(a.Outcome)
+	case coordinator.RefusalAnswer:
+		switch a.Refusal.Code {
+		case messenger.CodeNotRun, messenger.CodeNeverRunnable, messenger.CodeQuota:
+			return len(s.started) == 0, s
+		default:
+			return true, s
+		}
+	default:
+		return true, s
+	}
+}
+
+func (s submissionState) tell(outcome messenger.Outcome) (bool, any) {
+	told := describe(outcome)
+	if s.outcome != "" {
+		return s.outcome == told, s
+	}
+	for i, task := range outcome.Tasks {
+		switch task.State {
+		case messenger.TaskNotRun:
+			if s.started[i] {
+				return false, s
+			}
+			s.never = with(s.never, i)
+		case messenger.TaskSucceeded, messenger.TaskFailed:
+			if !s.started[i] {
+				return false, s
+			}
+		case messenger.TaskMayHaveRun:
+		}
+	}
+	s.outcome = told
+	return true, s
+}
+
+// describe writes an outcome so that two are equal if a caller cannot tell them
+// apart.
+func describe(outcome messenger.Outcome) string {
+	var text strings.Builder
+	fmt.Fprintf(&text, "%s %s", outcome.Status, outcome.Reason)
+	for _, task := range outcome.Tasks {
+		fmt.Fprintf(&text, " %s %q %s", task.State, task.Result, task.Reason)
+	}
+	return text.String()
+}
