Count an unfenced entry for the confirmation even if its row has lapsed

An entry left others whose row had not been renewed for 10 s out of the confirmation through peers. Such an entry may come back as the only one that reaches the store, and accept a take-out that the others never hear of.

A late status was ruled out: the agents were confirmed by entries that could not read the head. A row that nobody renews now stops starts in an outage until it is fenced, so a stopped entry has to fence its own row.

--- a/internal/dispatch/coordinator/config.go
+++ b/internal/dispatch/coordinator/config.go
@@ -28,8 +28,8 @@
 	// EntryLease is how long an entry row that is not renewed holds, and the
 	// longest stall after which an entry may go on without reading its row.
 	EntryLease time.Duration
-	// PeerLapse is the time after which an entry row that is not renewed no
-	// longer counts for the confirmation of settings.
+	// PeerLapse is the time after which an entry whose row is not renewed is left
+	// out of the directory for agents.
 	PeerLapse time.Duration
 	// CollectPatience bounds the wait for agents in a takeover.
 	CollectPatience time.Duration
--- a/internal/dispatch/coordinator/lease.go
+++ b/internal/dispatch/coordinator/lease.go
@@ -83,8 +83,8 @@
 	s.rowSeen = seen
 }
 
-// lapsed tells whether a row was not renewed for so long that its entry no
-// longer counts. Only time in which the table was read counts.
+// lapsed tells whether a row was not renewed for so long that agents need not
+// link to its entry. Only time in which the table was read counts.
 func (s *State) lapsed(row EntryRow) bool {
 	return s.unchangedFor(row) > s.Config.PeerLapse
 }
--- a/internal/dispatch/coordinator/settings.go
+++ b/internal/dispatch/coordinator/settings.go
@@ -48,14 +48,16 @@
 
 // peerConfirmation holds without the store: an accepted change is in force at
 // the entry that accepted it, so if every other entry has answered a message
-// sent at t and knows no higher version, none was accepted before t.
+// sent at t and knows no higher version, none was accepted before t. A row that
+// has lapsed counts until it is fenced: its entry may be the only one that still
+// reaches the store.
 func (s *State) peerConfirmation() (time.Time, bool) {
 	if s.renewedAt.IsZero() || s.version == 0 {
 		return time.Time{}, false
 	}
 	confirmed := s.now
 	for _, row := range s.directory {
-		if row.Incarnation == s.Config.Incarnation || row.Fenced || s.lapsed(row) {
+		if row.Incarnation == s.Config.Incarnation || row.Fenced {
 			continue
 		}
 		p := s.peers[row.Incarnation]
