Show starts after a take-out that an unknown entry accepted

Entries without the store confirm each other by the directory that they read last. An entry that joined since then, on the other side of a cut, is not asked and may accept a take-out: 68 to 69 tasks started later than the bound.

--- a/internal/proof/driver/faults.go
+++ b/internal/proof/driver/faults.go
@@ -42,6 +42,11 @@
 	w.entries[name].dead = true
 }
 
+// JoinEntry starts an entry under a name that the run did not have before.
+func (w *World) JoinEntry(name string) {
+	w.startEntry(name)
+}
+
 // RestartEntry starts a new incarnation of an entry.
 func (w *World) RestartEntry(name string) {
 	w.CrashEntry(name)
--- a/internal/proof/driver/script_test.go
+++ b/internal/proof/driver/script_test.go
@@ -64,6 +64,8 @@
 		crash(w, name)
 	case "crash_domain":
 		w.CrashDomain(name)
+	case "join":
+		w.JoinEntry(name)
 	case "restart":
 		restart(w, name)
 	case "pause":
