--- a/internal/proof/driver/script_test.go
+++ b/internal/proof/driver/script_test.go
@@ -17,11 +17,13 @@
 func TestFaultScripts(t *testing.T) {
 	scripter.Each(t, "testdata/*.txtar", func(t *testing.T, script scripter.Script) {
 		t.Log(script.Guards)
-		for seed := range script.Steps[0].Int(t, "seeds", 3) {
-			t.Run(fmt.Sprintf("seed_%d", seed+1), func(t *testing.T) {
+		first := script.Steps[0].Int(t, "first_seed", 1)
+		for i := range script.Steps[0].Int(t, "seeds", 3) {
+			seed := uint64(first + i)
+			t.Run(fmt.Sprintf("seed_%d", seed), func(t *testing.T) {
 				t.Parallel()
-				t.Logf("seed %d", seed+1)
-				runScript(t, script, uint64(seed+1))
+				t.Logf("seed %d", seed)
+				runScript(t, script, seed)
 			})
 		}
 	})
