Keep the cost of settling a job flat

The search for witnesses listed every agent, the removal from the list of jobs without an outcome row searched all of them, and evicted jobs stayed reachable through the array under the slice.

Not changed: a tick still visits each job without an outcome row (about 0.02 µs each).

--- a/internal/dispatch/coordinator/settle.go
+++ b/internal/dispatch/coordinator/settle.go
@@ -68,7 +68,6 @@
 	if !j.lifeCycle.Is(jobSettling) {
 		return
 	}
-	s.settling = slices.DeleteFunc(s.settling, func(x *job) bool { return x == j })
 	if j.told && j.outcome.Status != e.Outcome.Status {
 		s.emit(Decision{
 			Kind: DecisionGiveUp, Submission: e.Key,
@@ -80,6 +79,9 @@
 	}
 	step(j.lifeCycle, eventSettle)
 	j.settledAt = s.now
+	// The next tick takes settled jobs out of the list together: after an outage
+	// there may be tens of thousands, and each search would go through all of them.
+	s.settlingStale = true
 	s.settled = append(s.settled, j)
 	s.tell(j)
 }
@@ -103,6 +105,10 @@
 // settlingTick asks for witnesses when the store takes long, and forgets jobs
 // that were settled long ago.
 func (s *State) settlingTick() {
+	if s.settlingStale {
+		s.settlingStale = false
+		s.settling = slices.DeleteFunc(s.settling, func(j *job) bool { return !j.settledAt.IsZero() })
+	}
 	for _, j := range s.settling {
 		if s.now.Sub(j.settlingAt) >= s.Config.OutcomePatience {
 			s.storeDown = true
@@ -111,6 +117,8 @@
 	}
 	for len(s.settled) > 0 && s.now.Sub(s.settled[0].settledAt) >= s.Config.OutcomeCache {
 		s.evict(s.settled[0])
+		// The array outlives the slice of it and would keep the job alive.
+		s.settled[0] = nil
 		s.settled = s.settled[1:]
 	}
 }
@@ -139,25 +147,26 @@
 // chooseWitnesses picks agents that are heard, in failure domains that differ
 // where there are two; the arrival number spreads the choice.
 func (s *State) chooseWitnesses(j *job) []*agent {
-	var candidates []*agent
+	wanted := witnessCount - len(j.witnesses)
+	var chosen []*agent
+	var spare *agent
 	for i := range s.sorted {
 		a := s.sorted[(i+int(j.arrival%uint64(len(s.sorted))))%len(s.sorted)]
-		if !a.silent && !slices.Contains(j.witnesses, a.incarnation) {
-			candidates = append(candidates, a)
-		}
-	}
-	wanted := witnessCount - len(j.witnesses)
-	if len(candidates) <= wanted {
-		return candidates
-	}
-	chosen := candidates[:1]
-	for _, a := range candidates[1:] {
-		if len(chosen) < wanted && a.hello.FailureDomain != chosen[0].hello.FailureDomain {
+		switch {
+		case a.silent || slices.Contains(j.witnesses, a.incarnation):
+			continue
+		case len(chosen) == 0 || a.hello.FailureDomain != chosen[0].hello.FailureDomain:
 			chosen = append(chosen, a)
+		case spare == nil:
+			spare = a
+		}
+		// The search ends early, so that its cost does not grow with the agents.
+		if len(chosen) == wanted {
+			return chosen
 		}
 	}
-	if len(chosen) < wanted {
-		chosen = candidates[:wanted]
+	if spare != nil {
+		chosen = append(chosen, spare)
 	}
 	return chosen
 }
--- a/internal/dispatch/coordinator/state.go
+++ b/internal/dispatch/coordinator/state.go
@@ -51,10 +51,12 @@
 	arrivals  uint64
 	deadlines deadlineHeap
 	settling  []*job
-	settled   []*job
-	hedgeable []*job
-	storeDown bool
-	lookups   map[messenger.SubmissionKey][]lookup
+	// settlingStale is true if settling holds jobs that were settled meanwhile.
+	settlingStale bool
+	settled       []*job
+	hedgeable     []*job
+	storeDown     bool
+	lookups       map[messenger.SubmissionKey][]lookup
 
 	index   *placer.Index
 	classes map[classKey]*class
