Visit only label sets that have waiting tasks

Every event visited every label set that any caller had ever used.

The memory of a label set (a queue and its map entry) is still kept for ever.

--- a/internal/dispatch/coordinator/dispatch.go
+++ b/internal/dispatch/coordinator/dispatch.go
@@ -29,6 +29,8 @@
 	key    classKey
 	labels []string
 	queue  *limiter.Queue
+	// ordered is true while the class is in State.order.
+	ordered bool
 }
 
 func (s *State) classOf(j *job, labels []string) *class {
@@ -40,7 +42,6 @@
 	if c == nil {
 		c = &class{key: key, labels: labels, queue: limiter.NewQueue(key.firm, s.teams)}
 		s.classes[key] = c
-		s.order = append(s.order, c)
 	}
 	return c
 }
@@ -62,6 +63,10 @@
 		t.class = s.classOf(t.job, spec.Labels)
 	}
 	t.phase = taskWaiting
+	if !t.class.ordered {
+		t.class.ordered = true
+		s.order = append(s.order, t.class)
+	}
 	t.class.queue.Push(s.now, limiter.Item{
 		Task:     t.key(),
 		Attempt:  t.attempt,
@@ -84,11 +89,20 @@
 	if !s.mayDispatch() || len(s.order) == 0 {
 		return
 	}
+	waiting := s.order[:0]
 	for _, c := range s.order {
 		for s.dispatchNext(c) {
 			continue
 		}
+		// Classes without waiting tasks are left out until there are some: callers
+		// choose label sets, so there may be many.
+		c.ordered = c.queue.Len() > 0
+		if c.ordered {
+			waiting = append(waiting, c)
+		}
 	}
+	clear(s.order[len(waiting):])
+	s.order = waiting
 	if len(s.order) > 1 {
 		s.order = append(s.order[1:], s.order[0])
 	}
