Search ticket blocks by halves

A client that takes tickets one by one leaves a block for each, for 10 minutes, and each submission by ticket went through all of them.

--- a/internal/dispatch/coordinator/tickets.go
+++ b/internal/dispatch/coordinator/tickets.go
@@ -1,6 +1,7 @@
 package coordinator
 
 import (
+	"sort"
 	"strconv"
 	"strings"
 	"time"
@@ -111,13 +112,11 @@
 	s.startJob(j)
 }
 
+// valid tells whether a number is of a block in force. Blocks are in the order of
+// their numbers; clients that take tickets one by one leave many blocks.
 func (b *ticketBook) valid(number uint64, now time.Time) bool {
-	for _, block := range b.blocks {
-		if number >= block.from && number < block.to {
-			return now.Before(block.expiresAt)
-		}
-	}
-	return false
+	at := sort.Search(len(b.blocks), func(i int) bool { return number < b.blocks[i].to })
+	return at < len(b.blocks) && number >= b.blocks[at].from && now.Before(b.blocks[at].expiresAt)
 }
 
 // submitForeignTicket passes a ticket to the incarnation that issued it, without
