Measure slopes and compute the capacity page from them

The command measures what each decision, message and link costs at four or more sizes, and the page computes each role's need from the fitted lines.

--- a/cmd/burdockrudder/main.go
+++ b/cmd/burdockrudder/main.go
@@ -8,6 +8,7 @@
 	"syscall"
 
 	"github.com/burdockrudder/burdockrudder/internal/command/builder"
+	"github.com/burdockrudder/burdockrudder/internal/command/estimate"
 )
 
 func main() {
@@ -20,5 +21,5 @@
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	context.AfterFunc(ctx, stop)
-	return builder.Run(ctx, builder.Root(), os.Stderr)
+	return builder.Run(ctx, builder.Root(estimate.CapacityCommand()), os.Stderr)
 }
