--- a/cmd/burdockrudder/main.go
+++ b/cmd/burdockrudder/main.go
@@ -8,6 +8,7 @@
 	"syscall"
 
 	"github.com/burdockrudder/burdockrudder/internal/command/builder"
+	"github.com/burdockrudder/burdockrudder/internal/command/estimate"
 	"github.com/burdockrudder/burdockrudder/internal/command/starter"
 )
 
@@ -21,5 +22,6 @@
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	context.AfterFunc(ctx, stop)
-	return builder.Run(ctx, builder.Root(starter.Commands()...), os.Stderr)
+	commands := append(starter.Commands(), estimate.CapacityCommand())
+	return builder.Run(ctx, builder.Root(commands...), os.Stderr)
 }
--- a/internal/dispatch/coordinator/state.go
+++ b/internal/dispatch/coordinator/state.go
@@ -36,7 +36,11 @@
 	// while the entry drains.
 	unproved  bool
 	directory []EntryRow
-	rowSeen   map[string]rowSight
+	// addresses is what agents are told of the directory. Its version grows with
+	// each change.
+	addresses        []messenger.EntryAddress
+	addressesVersion uint64
+	rowSeen          map[string]rowSight
 
 	agents   map[string]*agent
 	sorted   []*agent
@@ -50,10 +54,12 @@
 	arrivals  uint64
 	deadlines deadlineHeap
 	settling  []*job
-	settled   []*job
-	hedgeable []*job
-	storeDown bool
-	lookups   map[messenger.SubmissionKey][]lookup
+	// settlingStale is true if settling holds jobs that were settled meanwhile.
+	settlingStale bool
+	settled       []*job
+	hedgeable     []*job
+	storeDown     bool
+	lookups       map[messenger.SubmissionKey][]lookup
 
 	index   *placer.Index
 	classes map[classKey]*class
@@ -66,6 +72,8 @@
 	takeovers map[messenger.Incarnation]*takeover
 	calls     map[uint64]*forwardCall
 	lastCall  uint64
+	// callKeys names the submission that each unanswered call of a caller is about.
+	callKeys map[CallID]messenger.SubmissionKey
 
 	counters Counters
 }
@@ -95,10 +103,13 @@
 	case Tick:
 		s.tick()
 	case Submitted:
+		s.callKeys[e.Call] = e.Submission.Key
 		s.submit(waiter{call: e.Call, wait: true}, e.Submission)
 	case Queried:
+		s.callKeys[e.Call] = e.Key
 		s.query(waiter{call: e.Call, wait: e.Wait}, e.Key)
 	case CancelRequested:
+		s.callKeys[e.Call] = e.Key
 		s.cancelRequested(waiter{call: e.Call}, e.Key, e.Prefix)
 	case TicketsRequested:
 		s.issueTickets(e)
@@ -145,6 +156,7 @@
 	s.remotes = make(map[messenger.SubmissionKey]*remote)
 	s.takeovers = make(map[messenger.Incarnation]*takeover)
 	s.calls = make(map[uint64]*forwardCall)
+	s.callKeys = make(map[CallID]messenger.SubmissionKey)
 }
 
 func (s *State) received(from messenger.Incarnation, m messenger.Message) {
@@ -193,6 +205,7 @@
 // reply answers a waiter. A peer gets the outcome or the refusal as a message.
 func (s *State) reply(w waiter, answer Answer) {
 	if w.peer == "" {
+		delete(s.callKeys, w.call)
 		s.emit(Reply{Call: w.call, Answer: answer})
 		return
 	}
