Bound what entries decide among themselves without the store

Cause of the two known failing scripts: entries that are cut off from the store confirmed settings and told outcomes among those they knew, while an entry they did not know, or could not reach, decided otherwise with the store.

Now an entry accepts changes only once all others have answered it since it joined; confirmation among entries ends 5 min after the last renewal; an owner tells through witnesses only while all others report that the store is silent for them too; a takeover decides only for owners that know it. Dead entries' rows are fenced after 10 s and a graceful stop releases its own, so that neither stops starts in a later outage. Ruled out: waiting in takeovers for all agents, which makes each takeover wait for every host that is down.

--- a/internal/daemon/launcher/entry_control.go
+++ b/internal/daemon/launcher/entry_control.go
@@ -61,6 +61,7 @@
 type entryLeaser interface {
 	RenewLease(effect coordinator.RenewLease)
 	FenceEntry(effect coordinator.FenceEntry)
+	ReleaseLease()
 }
 
 func (c *entryControl) prepare(drainPatience time.Duration) {
@@ -123,6 +124,8 @@
 		c.leaser.RenewLease(e)
 	case coordinator.FenceEntry:
 		c.leaser.FenceEntry(e)
+	case coordinator.ReleaseLease:
+		c.leaser.ReleaseLease()
 	case coordinator.Decision:
 		c.logDecision(e)
 	case coordinator.Drained:
--- a/internal/daemon/launcher/metrics_test.go
+++ b/internal/daemon/launcher/metrics_test.go
@@ -1,6 +1,7 @@
 package launcher
 
 import (
+	"net/http"
 	"net/http/httptest"
 	"strings"
 	"testing"
@@ -15,7 +16,7 @@
 	// Closing reports once more, so that no report has to be waited for.
 	metrics.Close()
 	response := httptest.NewRecorder()
-	metrics.Handler.ServeHTTP(response, httptest.NewRequest("GET", "/metrics", nil))
+	metrics.Handler.ServeHTTP(response, httptest.NewRequest(http.MethodGet, "/metrics", nil))
 	for _, want := range []string{
 		`burdockrudder_decisions{kind="place",name="entry-1",role="entry"} 3`,
 		`burdockrudder_waiting_tasks{name="entry-1",role="entry"} 2`,
--- a/internal/daemon/launcher/settings_store.go
+++ b/internal/daemon/launcher/settings_store.go
@@ -15,17 +15,13 @@
 )
 
 const (
-	// acceptLease is the age of the last renewal of the entry row up to which an
-	// entry may accept changes. It is below the time after which the others stop
-	// counting on this entry for their confirmation of the settings.
-	acceptLease = 3 * time.Second
 	// inForcePoll is the wait between looks at whether a change is in force here.
 	inForcePoll    = 5 * time.Millisecond
 	settingsSource = "request"
 )
 
 // errNotAccepting means that this entry cannot accept changes now.
-var errNotAccepting = errors.New("this entry has not renewed its lease lately and accepts no changes")
+var errNotAccepting = errors.New("this entry accepts no changes now")
 
 // settingsStore keeps the settings in the table and puts changes in force here
 // before they are reported as accepted.
@@ -47,9 +43,12 @@
 // from then on spreads it.
 func (s *settingsStore) Change(ctx context.Context, change server.SettingsChange) (uint64, error) {
 	view := s.control.Snapshot()
-	if view == nil || s.control.clock.now().Sub(view.LeaseRenewedAt) > acceptLease {
+	if view == nil {
 		return 0, errNotAccepting
 	}
+	if view.AcceptRefusal != "" {
+		return 0, fmt.Errorf("%w: %s", errNotAccepting, view.AcceptRefusal)
+	}
 	accepted, err := s.store.Change(ctx, versioner.Edit{
 		Expected: change.Expected,
 		Author:   change.Author,
--- a/internal/dispatch/coordinator/conclude.go
+++ b/internal/dispatch/coordinator/conclude.go
@@ -19,7 +19,7 @@
 			continue
 		}
 		r.taken = true
-		if s.stillRunning(t, r) {
+		if s.stillRunning(t, r) || (!t.isWitnessed(r) && !s.mayConclude(t)) {
 			continue
 		}
 		r.settling = true
@@ -27,6 +27,11 @@
 	}
 }
 
+func (t *takeover) isWitnessed(r *remote) bool {
+	_, ok := t.witnessed[r.row.Key]
+	return ok
+}
+
 // stillRunning waits for running tasks up to the deadline of the submission.
 func (s *State) stillRunning(t *takeover, r *remote) bool {
 	if s.now.Sub(t.collectedAt) >= max(r.row.Deadline, s.Config.CollectPatience) {
--- a/internal/dispatch/coordinator/config.go
+++ b/internal/dispatch/coordinator/config.go
@@ -31,6 +31,10 @@
 	// PeerLapse is the time after which an entry whose row is not renewed is left
 	// out of the directory for agents.
 	PeerLapse time.Duration
+	// OutageHorizon bounds the time without the store for which the entries may
+	// confirm the settings and tell outcomes among themselves. After it, an entry
+	// that has joined meanwhile may act without those that it never met.
+	OutageHorizon time.Duration
 	// CollectPatience bounds the wait for agents in a takeover.
 	CollectPatience time.Duration
 	// OutcomePatience is how long an outcome waits for the store before
@@ -63,6 +67,7 @@
 		RenewInterval:   time.Second,
 		EntryLease:      3 * time.Second,
 		PeerLapse:       10 * time.Second,
+		OutageHorizon:   5 * time.Minute,
 		CollectPatience: 5 * time.Second,
 		OutcomePatience: time.Second,
 		OutcomeCache:    time.Minute,
--- a/internal/dispatch/coordinator/drain.go
+++ b/internal/dispatch/coordinator/drain.go
@@ -19,6 +19,7 @@
 	}
 	if !s.busy() {
 		step(s.lifeCycle, eventStop)
+		s.emit(ReleaseLease{})
 		s.emit(Drained{})
 	}
 }
--- a/internal/dispatch/coordinator/effects.go
+++ b/internal/dispatch/coordinator/effects.go
@@ -72,6 +72,10 @@
 	Row EntryRow `json:"row"`
 }
 
+// ReleaseLease marks this entry's own row fenced and released, so that nobody
+// waits for it. Nothing follows.
+type ReleaseLease struct{}
+
 // Decision is logged for each routing or placement decision.
 type Decision struct {
 	Kind       DecisionKind            `json:"kind"`
@@ -117,6 +121,7 @@
 func (CommitOutcome) effect() {}
 func (RenewLease) effect()    {}
 func (FenceEntry) effect()    {}
+func (ReleaseLease) effect()  {}
 func (Decision) effect()      {}
 func (Drained) effect()       {}
 func (Exit) effect()          {}
--- a/internal/dispatch/coordinator/events.go
+++ b/internal/dispatch/coordinator/events.go
@@ -106,6 +106,8 @@
 	// Renewal grows with each renewal of the lease.
 	Renewal uint64 `json:"renewal"`
 	Fenced  bool   `json:"fenced,omitempty"`
+	// Released is true if the entry itself ended its lease in a graceful stop.
+	Released bool `json:"released,omitempty"`
 }
 
 // LeaseRenewed reports on a RenewLease.
--- a/internal/dispatch/coordinator/intent.go
+++ b/internal/dispatch/coordinator/intent.go
@@ -9,6 +9,9 @@
 // intentSettled continues the admission and the lookups that wait for the rows
 // of a submission.
 func (s *State) intentSettled(e IntentSettled) {
+	if !e.Failed {
+		s.storeAt = s.now
+	}
 	if j := s.jobs[e.Key]; j != nil && j.lifeCycle.Is(jobAdmitting) {
 		s.admissionSettled(j, e)
 	}
--- a/internal/dispatch/coordinator/lease.go
+++ b/internal/dispatch/coordinator/lease.go
@@ -59,8 +59,11 @@
 	s.unproved = false
 	s.renewedAt = s.now
 	s.directory = e.Directory
+	s.storeAt = s.now
 	s.noteRows()
 	s.noteAddresses()
+	s.forgetEntries()
+	s.fenceDead()
 	s.activate()
 	s.advanceTakeovers()
 }
--- a/internal/dispatch/coordinator/peers.go
+++ b/internal/dispatch/coordinator/peers.go
@@ -19,6 +19,9 @@
 	version     uint64
 	// confirmedAt is when the status was sent that the peer's last one echoes.
 	confirmedAt time.Time
+	// storeAge is how long the store had not answered the peer when it sent its
+	// last status.
+	storeAge time.Duration
 }
 
 func (s *State) peerLinked(e PeerLinked) {
@@ -75,6 +78,7 @@
 	}
 	s.send(p.incarnation, messenger.PeerStatus{
 		Sequence: s.peerSeq, EchoSequence: p.sequence, SettingsVersion: s.version,
+		StoreAge: s.now.Sub(s.storeAt),
 	})
 }
 
@@ -85,8 +89,13 @@
 	}
 	p.sequence = m.Sequence
 	p.version = m.SettingsVersion
+	p.storeAge = m.StoreAge
+	if !s.listed(from) {
+		s.met[from] = true
+	}
 	if m.EchoSequence > 0 && m.EchoSequence <= s.peerSeq && s.peerSeq-m.EchoSequence < peerTimes {
 		p.confirmedAt = s.peerSent[m.EchoSequence%peerTimes]
+		s.knows[from] = true
 	}
 }
 
--- a/internal/dispatch/coordinator/settings.go
+++ b/internal/dispatch/coordinator/settings.go
@@ -10,6 +10,9 @@
 // settingsRead takes a read of the settings. The higher version always wins; a
 // lower one neither replaces nor confirms what is in force.
 func (s *State) settingsRead(e SettingsRead) {
+	if !e.SentAt.IsZero() {
+		s.storeAt = s.now
+	}
 	if e.Version > s.version && e.Tree != nil {
 		s.version = e.Version
 		s.tree = e.Tree
@@ -49,19 +52,16 @@
 
 // peerConfirmation holds without the store: an accepted change is in force at
 // the entry that accepted it, so if every other entry has answered a message
-// sent at t and knows no higher version, none was accepted before t. A row that
-// has lapsed counts until it is fenced: its entry may be the only one that still
-// reaches the store.
+// sent at t and knows no higher version, none was accepted before t. It ends
+// OutageHorizon after the last renewal, because entries that join meanwhile are
+// not known here.
 func (s *State) peerConfirmation() (time.Time, bool) {
-	if s.renewedAt.IsZero() || s.version == 0 {
+	if s.version == 0 || !s.withinOutageHorizon() {
 		return time.Time{}, false
 	}
 	confirmed := s.now
-	for _, row := range s.directory {
-		if row.Incarnation == s.Config.Incarnation || row.Fenced {
-			continue
-		}
-		p := s.peers[row.Incarnation]
+	for _, incarnation := range s.otherEntries() {
+		p := s.peers[incarnation]
 		if p == nil || p.confirmedAt.IsZero() || p.version > s.version {
 			return time.Time{}, false
 		}
--- a/internal/dispatch/coordinator/settle.go
+++ b/internal/dispatch/coordinator/settle.go
@@ -61,6 +61,7 @@
 		return
 	}
 	s.storeDown = false
+	s.storeAt = s.now
 	if j == nil {
 		s.remoteSettled(e.Key, *e.Outcome)
 		return
@@ -134,7 +135,7 @@
 // askWitnesses asks agents to keep the outcome, so that it can be told before
 // the store has it. It is asked again while too few have accepted.
 func (s *State) askWitnesses(j *job) {
-	if j.told || len(j.witnesses) >= witnessCount {
+	if j.told || len(j.witnesses) >= witnessCount || !s.mayTellThroughWitnesses() {
 		return
 	}
 	for _, a := range s.chooseWitnesses(j) {
@@ -206,7 +207,7 @@
 	if !slices.Contains(j.accepted, from) {
 		j.accepted = append(j.accepted, from)
 	}
-	if len(j.accepted) >= witnessCount {
+	if len(j.accepted) >= witnessCount && !s.unproved && s.mayTellThroughWitnesses() {
 		s.tell(j)
 	}
 }
--- a/internal/dispatch/coordinator/snapshot.go
+++ b/internal/dispatch/coordinator/snapshot.go
@@ -16,7 +16,10 @@
 	SettingsVersion     uint64    `json:"settings_version"`
 	SettingsConfirmedAt time.Time `json:"settings_confirmed_at"`
 	// LeaseRenewedAt is when this entry last renewed its row in the table.
-	LeaseRenewedAt  time.Time      `json:"lease_renewed_at"`
+	LeaseRenewedAt time.Time `json:"lease_renewed_at"`
+	// AcceptRefusal says why this entry may not accept changes of the settings; it
+	// is empty if it may.
+	AcceptRefusal   string         `json:"accept_refusal,omitempty"`
 	Tree            *resolver.Tree `json:"-"`
 	Endpoints       []EndpointView `json:"endpoints"`
 	Directory       []EntryRow     `json:"directory"`
--- a/internal/dispatch/coordinator/state.go
+++ b/internal/dispatch/coordinator/state.go
@@ -42,10 +42,17 @@
 	addressesVersion uint64
 	rowSeen          map[string]rowSight
 
-	agents   map[string]*agent
-	sorted   []*agent
-	agentOf  map[messenger.Incarnation]*agent
-	peers    map[messenger.Incarnation]*peer
+	agents  map[string]*agent
+	sorted  []*agent
+	agentOf map[messenger.Incarnation]*agent
+	peers   map[messenger.Incarnation]*peer
+	// knows holds the entries that have answered this one: they count on it for
+	// their confirmation of the settings, even if they are cut off later.
+	knows map[messenger.Incarnation]bool
+	// met holds peers that the last directory read does not list yet.
+	met map[messenger.Incarnation]bool
+	// storeAt is when the store last answered anything.
+	storeAt  time.Time
 	peerSeq  uint64
 	peerSent [peerTimes]time.Time
 	statusAt time.Time
@@ -146,6 +153,8 @@
 	s.agents = make(map[string]*agent)
 	s.agentOf = make(map[messenger.Incarnation]*agent)
 	s.peers = make(map[messenger.Incarnation]*peer)
+	s.knows = make(map[messenger.Incarnation]bool)
+	s.met = make(map[messenger.Incarnation]bool)
 	s.jobs = make(map[messenger.SubmissionKey]*job)
 	s.lookups = make(map[messenger.SubmissionKey][]lookup)
 	s.index = placer.New()
--- a/internal/dispatch/coordinator/takeover.go
+++ b/internal/dispatch/coordinator/takeover.go
@@ -44,9 +44,12 @@
 	phase       takeoverPhase
 	startedAt   time.Time
 	collectedAt time.Time
-	awaiting    map[messenger.Incarnation]bool
-	records     map[messenger.SubmissionKey]map[int]heldRecord
-	witnessed   map[messenger.SubmissionKey]messenger.Outcome
+	// replaced is true if the owner's row belongs to a later incarnation of the
+	// same process, or is gone: the owner does not run any more.
+	replaced  bool
+	awaiting  map[messenger.Incarnation]bool
+	records   map[messenger.SubmissionKey]map[int]heldRecord
+	witnessed map[messenger.SubmissionKey]messenger.Outcome
 }
 
 // heldRecord is a record and the agent that holds it.
@@ -165,6 +168,7 @@
 	if !s.renewedAt.After(t.startedAt) {
 		return
 	}
+	t.replaced = !s.listed(t.owner)
 	for _, row := range s.directory {
 		if row.Incarnation != t.owner || row.Fenced {
 			continue
--- a/internal/dispatch/coordinator/view.go
+++ b/internal/dispatch/coordinator/view.go
@@ -7,6 +7,7 @@
 		SettingsVersion:     s.version,
 		SettingsConfirmedAt: s.confirmation(),
 		LeaseRenewedAt:      s.renewedAt,
+		AcceptRefusal:       s.mayAccept(),
 		Tree:                s.tree,
 		Directory:           s.directory,
 		LiveSubmissions:     len(s.jobs) - len(s.settled),
--- a/internal/dispatch/coordinator/witness_test.go
+++ b/internal/dispatch/coordinator/witness_test.go
@@ -33,6 +33,9 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			g := newGrowth(t, c.agents)
+			// Another entry that might reach the store would forbid witnesses.
+			g.entries = 1
+			g.advance(2 * time.Second)
 			for _, a := range g.state.sorted {
 				if c.alike {
 					a.hello.FailureDomain = "sousse"
--- a/internal/dispatch/messenger/messages.go
+++ b/internal/dispatch/messenger/messages.go
@@ -170,6 +170,8 @@
 	Sequence        uint64 `json:"sequence"`
 	EchoSequence    uint64 `json:"echo_sequence"`
 	SettingsVersion uint64 `json:"settings_version"`
+	// StoreAge is how long the store has not answered the sender.
+	StoreAge time.Duration `json:"store_age"`
 }
 
 // Forward passes a submission to its owner, or asks the owner about it when
--- a/internal/platform/leaser/directory.go
+++ b/internal/platform/leaser/directory.go
@@ -11,9 +11,9 @@
 )
 
 const (
-	// fencedVisible keeps a fenced row in the directory for longer than a
-	// takeover takes, which collects for up to 5 s.
-	fencedVisible = time.Minute
+	// fencedVisible keeps a fenced row in the directory for longer than the outage
+	// horizon of 5 min, for which its entry may still act with others.
+	fencedVisible = 6 * time.Minute
 	// removeAfter is how long a row is seen unchanged before it is removed.
 	removeAfter = time.Hour
 	// scanGap is the time without a scan after which the ages start again:
--- a/internal/platform/leaser/leaser.go
+++ b/internal/platform/leaser/leaser.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"sync/atomic"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -39,6 +40,7 @@
 
 	renewals chan coordinator.RenewLease
 	fences   chan coordinator.FenceEntry
+	released atomic.Bool
 	book     directory
 	// held is true once a renewal took effect or was seen to have.
 	held bool
@@ -74,6 +76,12 @@
 	}
 }
 
+// ReleaseLease ends the lease in a graceful stop: Run then marks the own row
+// before it returns, so that the other entries need not wait for it to lapse.
+func (l *Leaser) ReleaseLease() {
+	l.released.Store(true)
+}
+
 // Run serves the queues until ctx ends. Fences do not wait for renewals.
 func (l *Leaser) Run(ctx context.Context) error {
 	group, ctx := errgroup.WithContext(ctx)
@@ -82,9 +90,39 @@
 	if err := group.Wait(); !errors.Is(err, context.Canceled) {
 		return fmt.Errorf("run leaser: %w", err)
 	}
+	if l.released.Load() {
+		l.release(context.WithoutCancel(ctx))
+	}
 	return nil
 }
 
+// release marks the own row once. If that fails, the row lapses by itself.
+func (l *Leaser) release(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, tryTimeout)
+	defer cancel()
+	if err := l.tryRelease(ctx); err != nil {
+		l.Logger.Warn("lease not released", zap.Error(err))
+	}
+}
+
+func (l *Leaser) tryRelease(ctx context.Context) error {
+	rows, err := l.Table.Read(ctx, []string{Prefix + l.Name})
+	if err != nil || len(rows) == 0 {
+		return err
+	}
+	row, err := decode(rows[0])
+	if err != nil || row.Incarnation != l.Incarnation {
+		return err
+	}
+	row.Fenced, row.Released = true, true
+	put, err := l.put(rows[0], row, string(l.Incarnation)+"/release")
+	if err != nil {
+		return err
+	}
+	_, err = l.Table.Write(ctx, []storer.Put{put}, false)
+	return err
+}
+
 func serve[T any](ctx context.Context, queue <-chan T, handle func(context.Context, T)) error {
 	for {
 		select {
--- /dev/null
+++ b/internal/platform/leaser/release_test.go
@@ -0,0 +1,38 @@
+package leaser
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+
+	"github.com/burdockrudder/burdockrudder/internal/dispatch/coordinator"
+	"github.com/burdockrudder/burdockrudder/internal/standin/tablekeeper"
+)
+
+// Guards against a graceful stop that leaves a row for which the other entries
+// wait in an outage of the store.
+func TestReleaseMarksOwnRow(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		keeper := &tablekeeper.Keeper{}
+		l := &Leaser{Table: keeper, Name: "entry-1", Incarnation: "entry-1~a", Emit: func(coordinator.Event) {}}
+		l.Prepare()
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan error, 1)
+		go func() { done <- l.Run(ctx) }()
+		l.RenewLease(coordinator.RenewLease{Renewal: 1})
+		synctest.Wait()
+		l.ReleaseLease()
+		cancel()
+		if err := <-done; err != nil {
+			t.Fatal(err)
+		}
+		rows, err := keeper.Read(t.Context(), []string{Prefix + "entry-1"})
+		if err != nil {
+			t.Fatal(err)
+		}
+		row, err := decode(rows[0])
+		if err != nil || !row.Released || !row.Fenced {
+			t.Errorf("got %+v, %v; want a released row", row, err)
+		}
+	})
+}
--- a/internal/proof/driver/driver.go
+++ b/internal/proof/driver/driver.go
@@ -33,6 +33,8 @@
 	Domains []string
 	Agents  int
 	Slots   int
+	// OutageHorizon replaces the default of the entries unless it is 0.
+	OutageHorizon time.Duration
 	// Tree are the settings of version 1.
 	Tree resolver.Tree
 	// LoseReplies is the share of table writes whose reply is lost.
--- a/internal/proof/driver/entries.go
+++ b/internal/proof/driver/entries.go
@@ -25,12 +25,16 @@
 
 func (w *World) startEntry(name string) {
 	incarnation := w.newIncarnation(name)
+	config := coordinator.Defaults(name, incarnation, name)
+	if w.OutageHorizon > 0 {
+		config.OutageHorizon = w.OutageHorizon
+	}
 	node := &entryNode{
 		world:       w,
 		name:        name,
 		incarnation: incarnation,
 		state: &coordinator.State{
-			Config: coordinator.Defaults(name, incarnation, name),
+			Config: config,
 			Random: rand.New(rand.NewPCG(w.Seed, uint64(w.restarts))),
 		},
 	}
@@ -115,6 +119,8 @@
 		w.renewLease(n, e.Renewal)
 	case coordinator.FenceEntry:
 		w.fenceEntry(n, e.Row)
+	case coordinator.ReleaseLease:
+		w.releaseLease(n)
 	case coordinator.Drained:
 		n.exited = true
 		n.drainedAt = w.now
--- a/internal/proof/driver/faults.go
+++ b/internal/proof/driver/faults.go
@@ -167,7 +167,7 @@
 	attempt := len(w.Changes)
 	w.Changes = append(w.Changes, Change{Entry: entry, Expected: expected, From: w.Elapsed()})
 	w.after(writeLatency, func() {
-		if !w.table.reachable(entry) || node.stopped() {
+		if !w.table.reachable(entry) || node.stopped() || node.state.View().AcceptRefusal != "" {
 			return
 		}
 		conflict := w.table.version != expected
--- a/internal/proof/driver/script_test.go
+++ b/internal/proof/driver/script_test.go
@@ -34,6 +34,7 @@
 	w := &World{
 		Seed: seed, Entries: first.Int(t, "entries", 3), Agents: first.Int(t, "agents", 11),
 		Slots: first.Int(t, "slots", 8), Domains: domains, Tree: testTree(),
+		OutageHorizon: first.Duration(t, "outage_horizon", 0),
 	}
 	w.Start()
 	for _, step := range script.Steps[1:] {
--- a/internal/proof/driver/table.go
+++ b/internal/proof/driver/table.go
@@ -174,3 +174,14 @@
 		w.reply(func() { n.handle(coordinator.EntryFenced{Owner: row.Incarnation}) })
 	})
 }
+
+// releaseLease marks the row of an entry that stops gracefully.
+func (w *World) releaseLease(n *entryNode) {
+	w.after(writeLatency, func() {
+		row := w.table.entries[n.name]
+		if w.table.reachable(n.name) && row.Incarnation == n.incarnation {
+			row.Fenced, row.Released = true, true
+			w.table.entries[n.name] = row
+		}
+	})
+}
