Share the limits of a team among the entries

Each entry applied the whole limit to its own tasks, so that 16 entries allowed 16 times the limit. Each now applies an equal share, rounded up, and follows the number of entries in the directory.

--- a/internal/dispatch/coordinator/settings.go
+++ b/internal/dispatch/coordinator/settings.go
@@ -26,11 +26,7 @@
 
 // settingsChanged applies a new version here and pushes it to all agents at once.
 func (s *State) settingsChanged() {
-	for firm, settings := range s.tree.Firms {
-		for team, quota := range settings.Teams {
-			s.teams.Set(firm, team, quota)
-		}
-	}
+	s.setQuotas()
 	for _, a := range s.sorted {
 		if a.sequence > 0 {
 			s.register(a)
@@ -40,6 +36,28 @@
 	s.statusToPeers()
 }
 
+// setQuotas puts this entry's share of the teams' limits in force. Entries count
+// their own tasks only, so with whole limits each added entry would raise them.
+func (s *State) setQuotas() {
+	if s.tree == nil {
+		return
+	}
+	entries := max(1, len(s.addresses))
+	for firm, settings := range s.tree.Firms {
+		for team, quota := range settings.Teams {
+			quota.MaxRunningTasks = shareOf(quota.MaxRunningTasks, entries)
+			quota.MaxWaitingTasks = shareOf(quota.MaxWaitingTasks, entries)
+			s.teams.Set(firm, team, quota)
+		}
+	}
+}
+
+// shareOf rounds up, so that a small limit leaves every entry something. No
+// limit, 0, stays none.
+func shareOf(limit, entries int) int {
+	return (limit + entries - 1) / entries
+}
+
 // confirmation returns the time as of which the settings here are known to be
 // the newest accepted ones.
 func (s *State) confirmation() time.Time {
@@ -130,6 +148,7 @@
 	if !slices.Equal(addresses, s.addresses) {
 		s.addresses = addresses
 		s.addressesVersion++
+		s.setQuotas()
 	}
 }
 
--- a/internal/settings/resolver/tree.go
+++ b/internal/settings/resolver/tree.go
@@ -51,8 +51,10 @@
 type Team struct {
 	// Weight is the team's share of the slots relative to the other teams.
 	Weight int `json:"weight"`
-	// MaxRunningTasks bounds the team's tasks that have been sent to agents by one entry; 0 means no bound.
+	// MaxRunningTasks bounds the team's tasks that have been sent to agents; each
+	// entry applies an equal share, rounded up. 0 means no bound.
 	MaxRunningTasks int `json:"max_running_tasks,omitempty"`
-	// MaxWaitingTasks bounds the team's tasks that wait at one entry; 0 means no bound.
+	// MaxWaitingTasks bounds the team's waiting tasks; each entry applies an equal
+	// share, rounded up. 0 means no bound.
 	MaxWaitingTasks int `json:"max_waiting_tasks,omitempty"`
 }
