Return only the asked-for records to a takeover

An agent returned all records of a fenced entry, 10 min of starts: 3.75 M records or 1.5 GB at the target size, with 7 s of processor time, longer than the lease of the entry that takes over. A fence now names the submissions that somebody waits for, and later calls are collected in further rounds. By the slopes of docs/CAPACITY.md that is at most the running tasks of the dead entry, 455 records or 0.2 MB. Ruled out: records younger than the longest deadline only, which is still half of them.

--- a/internal/dispatch/coordinator/conclude.go
+++ b/internal/dispatch/coordinator/conclude.go
@@ -10,15 +10,13 @@
 	if t.phase != takeoverCollecting {
 		return
 	}
-	patient := s.now.Sub(t.collectedAt) < s.Config.CollectPatience
-	if len(t.awaiting) > 0 && patient {
-		return
+	for s.endRound(t) {
+		s.startRound(t)
 	}
 	for _, r := range s.sortedRemotes() {
-		if r.row.Owner != t.owner || r.settling {
+		if r.row.Owner != t.owner || r.settling || r.collectedAt.IsZero() {
 			continue
 		}
-		r.taken = true
 		if s.stillRunning(t, r) || (!t.isWitnessed(r) && !s.mayConclude(t)) {
 			continue
 		}
@@ -27,6 +25,25 @@
 	}
 }
 
+// endRound ends a round that all agents have answered, or whose time is over. It
+// returns true if there are submissions to ask for in another round.
+func (s *State) endRound(t *takeover) bool {
+	if len(t.awaiting) > 0 && s.now.Sub(t.roundAt) < s.Config.CollectPatience {
+		return false
+	}
+	for _, r := range t.asked {
+		if r.collectedAt.IsZero() {
+			r.collectedAt = s.now
+		}
+	}
+	for _, r := range s.remotes {
+		if r.row.Owner == t.owner && r.collectedAt.IsZero() {
+			return true
+		}
+	}
+	return false
+}
+
 func (t *takeover) isWitnessed(r *remote) bool {
 	_, ok := t.witnessed[r.row.Key]
 	return ok
@@ -34,7 +51,7 @@
 
 // stillRunning waits for running tasks up to the deadline of the submission.
 func (s *State) stillRunning(t *takeover, r *remote) bool {
-	if s.now.Sub(t.collectedAt) >= max(r.row.Deadline, s.Config.CollectPatience) {
+	if s.now.Sub(r.collectedAt) >= max(r.row.Deadline, s.Config.CollectPatience) {
 		return false
 	}
 	for _, held := range t.records[r.row.Key] {
@@ -118,7 +135,7 @@
 // collects again; the agents' fences stay.
 func (s *State) forgetTakeovers() {
 	for _, t := range s.sortedTakeovers() {
-		if t.phase == takeoverCollecting && s.now.Sub(t.collectedAt) > s.Config.OutcomeCache && !s.needed(t) {
+		if t.phase == takeoverCollecting && s.now.Sub(t.roundAt) > s.Config.OutcomeCache && !s.needed(t) {
 			delete(s.takeovers, t.owner)
 		}
 		if t.phase == takeoverWaiting && !s.needed(t) {
--- a/internal/dispatch/coordinator/members.go
+++ b/internal/dispatch/coordinator/members.go
@@ -106,7 +106,7 @@
 	s.askWitnessAgain(a)
 	for _, t := range s.sortedTakeovers() {
 		if t.awaiting[a.incarnation] {
-			s.send(a.incarnation, messenger.Fence{Owner: t.owner})
+			s.send(a.incarnation, t.fence())
 		}
 	}
 }
--- a/internal/dispatch/coordinator/takeover.go
+++ b/internal/dispatch/coordinator/takeover.go
@@ -18,6 +18,9 @@
 	startedAt  time.Time
 	// taken is true once the owner is being replaced.
 	taken bool
+	// collectedAt is when the agents had answered, or their time was over; zero
+	// before that.
+	collectedAt time.Time
 	// settling is true once the outcome row was asked for.
 	settling bool
 }
@@ -40,10 +43,14 @@
 
 // takeover replaces one dead entry incarnation. One fence covers all its jobs.
 type takeover struct {
-	owner       messenger.Incarnation
-	phase       takeoverPhase
-	startedAt   time.Time
-	collectedAt time.Time
+	owner     messenger.Incarnation
+	phase     takeoverPhase
+	startedAt time.Time
+	// The agents are asked in rounds, each for the submissions that somebody waits
+	// for by then.
+	round   int
+	roundAt time.Time
+	asked   []*remote
 	// replaced is true if the owner's row belongs to a later incarnation of the
 	// same process, or is gone: the owner does not run any more.
 	replaced  bool
@@ -197,18 +204,26 @@
 // collect fences the owner at all agents and asks for their records.
 func (s *State) collect(t *takeover) {
 	t.phase = takeoverCollecting
-	t.collectedAt = s.now
 	s.counters.Takeovers++
 	s.emit(Decision{Kind: DecisionTakeover, Endpoint: string(t.owner), Reason: "the owner's lease has lapsed"})
+	s.startRound(t)
+	s.conclude(t)
+}
+
+// startRound asks all agents for the submissions that were not collected yet.
+func (s *State) startRound(t *takeover) {
+	t.round++
+	t.roundAt = s.now
+	t.asked = nil
 	for _, r := range s.sortedRemotes() {
-		if r.row.Owner == t.owner {
+		if r.row.Owner == t.owner && r.collectedAt.IsZero() {
 			r.taken = true
+			t.asked = append(t.asked, r)
 		}
 	}
 	for _, a := range s.sorted {
 		s.fenceAgent(t, a)
 	}
-	s.conclude(t)
 }
 
 func (s *State) fenceAgent(t *takeover, a *agent) {
@@ -216,7 +231,15 @@
 		return
 	}
 	t.awaiting[a.incarnation] = true
-	s.send(a.incarnation, messenger.Fence{Owner: t.owner})
+	s.send(a.incarnation, t.fence())
+}
+
+func (t *takeover) fence() messenger.Fence {
+	m := messenger.Fence{Owner: t.owner, Round: t.round}
+	for _, r := range t.asked {
+		m.Submissions = append(m.Submissions, r.row.Key)
+	}
+	return m
 }
 
 func (s *State) fenced(from messenger.Incarnation, m messenger.Fenced) {
@@ -230,7 +253,7 @@
 	for _, outcome := range m.Witnessed {
 		t.witnessed[outcome.Key] = outcome
 	}
-	if m.Last {
+	if m.Last && m.Round == t.round {
 		delete(t.awaiting, from)
 		s.conclude(t)
 	}
--- a/internal/dispatch/gatekeeper/fences.go
+++ b/internal/dispatch/gatekeeper/fences.go
@@ -2,23 +2,30 @@
 
 import (
 	"slices"
-	"strings"
 
 	"github.com/burdockrudder/burdockrudder/internal/dispatch/messenger"
 )
 
-// fence shuts out a replaced entry and returns what this agent holds for it.
+// fence shuts out a replaced entry and returns what this agent holds of
+// the submissions that are asked for.
 func (s *State) fence(from messenger.Incarnation, m messenger.Fence) {
 	f := s.fenced[m.Owner]
 	if f == nil {
-		f = &fence{at: s.now}
+		f = &fence{at: s.now, collectors: make(map[messenger.SubmissionKey][]messenger.Incarnation)}
 		s.fenced[m.Owner] = f
 	}
-	if !slices.Contains(f.collectors, from) {
-		f.collectors = append(f.collectors, from)
+	for _, key := range m.Submissions {
+		f.collect(key, from)
 	}
 	s.tombstoneQueued(m.Owner)
-	s.sendFenced(from, m.Owner)
+	s.sendFenced(from, m)
+}
+
+// collect notes who is to hear of the tasks of a submission that still run.
+func (f *fence) collect(key messenger.SubmissionKey, from messenger.Incarnation) {
+	if !slices.Contains(f.collectors[key], from) {
+		f.collectors[key] = append(f.collectors[key], from)
+	}
 }
 
 func (s *State) tombstoneQueued(owner messenger.Incarnation) {
@@ -35,44 +42,43 @@
 	s.queue = kept
 }
 
-func (s *State) sendFenced(to, owner messenger.Incarnation) {
-	records := s.recordsOf(owner)
+func (s *State) sendFenced(to messenger.Incarnation, m messenger.Fence) {
+	records := s.recordsOf(m)
 	for len(records) > maxRecordsPerPart {
-		s.send(to, messenger.Fenced{Owner: owner, Records: records[:maxRecordsPerPart]})
+		s.send(to, messenger.Fenced{Owner: m.Owner, Round: m.Round, Records: records[:maxRecordsPerPart]})
 		records = records[maxRecordsPerPart:]
 	}
 	s.send(to, messenger.Fenced{
-		Owner: owner, Records: records, Witnessed: s.witnessedOf(owner), Last: true,
+		Owner: m.Owner, Round: m.Round, Records: records, Witnessed: s.witnessedOf(m), Last: true,
 	})
 }
 
-func (s *State) recordsOf(owner messenger.Incarnation) []messenger.Record {
+// recordsOf looks the tasks up one by one: the cost depends on what is asked
+// for, not on the number of records.
+func (s *State) recordsOf(m messenger.Fence) []messenger.Record {
 	var records []messenger.Record
-	for _, r := range s.records {
-		if r.owner == owner {
+	for _, key := range m.Submissions {
+		for index := range messenger.MaxTasks {
+			r := s.records[messenger.TaskKey{Submission: key, Index: index}]
+			if r == nil || r.owner != m.Owner {
+				continue
+			}
 			records = append(records, messenger.Record{
 				Task: r.task, Attempt: r.attempt, State: r.state, Outcome: r.outcome,
 				StoppedByFence: r.stoppedByFence,
 			})
 		}
 	}
-	slices.SortFunc(records, func(a, b messenger.Record) int {
-		if c := compareKeys(a.Task.Submission, b.Task.Submission); c != 0 {
-			return c
-		}
-		return a.Task.Index - b.Task.Index
-	})
 	return records
 }
 
-func (s *State) witnessedOf(owner messenger.Incarnation) []messenger.Outcome {
+func (s *State) witnessedOf(m messenger.Fence) []messenger.Outcome {
 	var outcomes []messenger.Outcome
-	for _, w := range s.witnessed {
-		if w.owner == owner {
+	for _, key := range m.Submissions {
+		if w, ok := s.witnessed[key]; ok && w.owner == m.Owner {
 			outcomes = append(outcomes, w.outcome)
 		}
 	}
-	slices.SortFunc(outcomes, func(a, b messenger.Outcome) int { return compareKeys(a.Key, b.Key) })
 	return outcomes
 }
 
@@ -86,7 +92,3 @@
 	s.witnessed[m.Outcome.Key] = witness{owner: m.Owner, outcome: m.Outcome, at: s.now}
 	s.send(from, messenger.Witnessed{Key: m.Outcome.Key, Accepted: true})
 }
-
-func compareKeys(a, b messenger.SubmissionKey) int {
-	return strings.Compare(a.String(), b.String())
-}
--- a/internal/dispatch/gatekeeper/starts.go
+++ b/internal/dispatch/gatekeeper/starts.go
@@ -210,7 +210,7 @@
 // fenced the owner.
 func (s *State) listeners(r *record) []messenger.Incarnation {
 	if f := s.fenced[r.owner]; f != nil {
-		return f.collectors
+		return f.collectors[r.task.Submission]
 	}
 	return []messenger.Incarnation{r.owner}
 }
--- a/internal/dispatch/gatekeeper/state.go
+++ b/internal/dispatch/gatekeeper/state.go
@@ -88,8 +88,9 @@
 
 // fence marks a replaced entry and the entries that collect its results.
 type fence struct {
-	at         time.Time
-	collectors []messenger.Incarnation
+	at time.Time
+	// collectors are told of the tasks of a submission that still run.
+	collectors map[messenger.SubmissionKey][]messenger.Incarnation
 }
 
 type witness struct {
--- a/internal/dispatch/messenger/messages.go
+++ b/internal/dispatch/messenger/messages.go
@@ -128,9 +128,14 @@
 }
 
 // Fence tells an agent that an entry incarnation was replaced. The agent
-// refuses its starts from then on and returns the records that it holds for it.
+// refuses its starts from then on and returns what it holds of some submissions.
 type Fence struct {
 	Owner Incarnation `json:"owner"`
+	// Round tells the answers to several fences of one owner apart.
+	Round int `json:"round"`
+	// Submissions are those whose records are returned. An agent may hold
+	// millions of records of an owner, of which few are ever asked for.
+	Submissions []SubmissionKey `json:"submissions,omitempty"`
 }
 
 // Record is one start record, as returned to the entry that fences its owner.
@@ -148,6 +153,7 @@
 // Fenced answers a fence. Last is false on all but the last of several parts.
 type Fenced struct {
 	Owner     Incarnation `json:"owner"`
+	Round     int         `json:"round"`
 	Records   []Record    `json:"records,omitempty"`
 	Witnessed []Outcome   `json:"witnessed,omitempty"`
 	Last      bool        `json:"last"`
--- a/internal/dispatch/messenger/submission.go
+++ b/internal/dispatch/messenger/submission.go
@@ -31,6 +31,9 @@
 	DeclaredRunTime time.Duration `json:"declared_run_time,omitempty"`
 }
 
+// MaxTasks is the limit of tasks of one submission, whatever the settings say.
+const MaxTasks = 210
+
 // Submission is a job or a request as admitted by an entry.
 type Submission struct {
 	Key        SubmissionKey `json:"key"`
--- a/internal/proof/estimator/model.go
+++ b/internal/proof/estimator/model.go
@@ -129,12 +129,12 @@
 	}
 }
 
-// FenceBytes is what all agents return to one fence: the records of the dead entry
-// within the horizon, whether or not their jobs are settled.
+// FenceBytes is what all agents return in a takeover, if the callers of all live
+// jobs of the dead entry ask the same other entry.
 func (t Target) FenceBytes(s Slopes, entries int) float64 {
 	return t.fenceRecords(entries) * s.ByID["codec.fenced.bytes"].Slope
 }
 
 func (t Target) fenceRecords(entries int) float64 {
-	return t.Starts * horizonSeconds / float64(entries)
+	return t.TasksInDoubt(float64(t.Workers)) / float64(entries)
 }
--- a/internal/settings/resolver/resolved.go
+++ b/internal/settings/resolver/resolved.go
@@ -74,7 +74,7 @@
 func Defaults() Resolved {
 	return Resolved{
 		State:           messenger.DomainIn,
-		MaxTasks:        210,
+		MaxTasks:        messenger.MaxTasks,
 		MaxPayloadBytes: 256 << 10,
 		DefaultDeadline: Duration(30 * time.Second),
 		MaxDeadline:     Duration(5 * time.Minute),
