Answer reports with the status at once

Cause: entries sent their statuses on timers of their own, so an agent woke for each of 16 entries apart from its reports, and each message had an acknowledgement of its own. The status now answers the report; a timer serves agents whose reports do not come.

--- a/internal/dispatch/coordinator/members.go
+++ b/internal/dispatch/coordinator/members.go
@@ -26,6 +26,7 @@
 	heldBack        bool
 	domainOut       bool
 	directorySent   uint64
+	statusAt        time.Time
 	sent            map[copyKey]*task
 }
 
@@ -156,7 +157,8 @@
 	a.load = m.Load
 	s.index.Told(s.now, a.name, m.Load)
 	s.updateBlocks(a)
-	if first {
+	if first || s.now.Sub(a.statusAt) >= s.Config.StatusInterval/2 {
+		// The answer shares its packet with the acknowledgement of the report.
 		s.sendStatus(a)
 	}
 }
--- a/internal/dispatch/coordinator/settings.go
+++ b/internal/dispatch/coordinator/settings.go
@@ -90,9 +90,11 @@
 	return confirmed, true
 }
 
+// statusToAgents serves the agents whose reports do not come, or come late. The
+// others get their status in answer to a report.
 func (s *State) statusToAgents() {
 	for _, a := range s.sorted {
-		if a.sequence > 0 {
+		if a.sequence > 0 && s.now.Sub(a.statusAt) >= s.Config.StatusInterval {
 			s.sendStatus(a)
 		}
 	}
@@ -120,6 +122,7 @@
 		a.directorySent = s.addressesVersion
 		m.Directory = s.addresses
 	}
+	a.statusAt = s.now
 	s.send(a.incarnation, m)
 }
 
