Do not give agents up while most of them are silent

Cause: an entry that loses its own network for longer than 10 s took all agents for lost and failed every job with a task at one of them, although the agents answer once the network is back. For a single failure domain the rule was ruled out: its loss and its cut look the same, and the failed answers would come at the deadline in place of 10 s.

--- a/internal/dispatch/coordinator/members.go
+++ b/internal/dispatch/coordinator/members.go
@@ -223,19 +223,28 @@
 	}
 }
 
-// watchAgents finds agents that fell silent, and gives up those that stay so.
+// watchAgents finds agents that fell silent, and gives up those that stay so. If
+// most are silent, this entry is cut off rather than they lost: what it asked
+// them to start is awaited up to the deadlines of the jobs.
 func (s *State) watchAgents() {
 	var gone []*agent
+	silent := 0
 	for _, a := range s.sorted {
 		quiet := s.now.Sub(a.heardAt)
 		if quiet >= s.Config.SilentAfter && !a.silent {
 			a.silent = true
 			s.updateBlocks(a)
 		}
+		if a.silent {
+			silent++
+		}
 		if quiet >= s.Config.GoneAfter {
 			gone = append(gone, a)
 		}
 	}
+	if silent > 1 && 2*silent > len(s.sorted) {
+		return
+	}
 	for _, a := range gone {
 		s.agentGone(a, "the agent was silent for too long")
 	}
