--- a/internal/demo/runner/runner_test.go
+++ b/internal/demo/runner/runner_test.go
@@ -6,6 +6,9 @@
 
 	"go.uber.org/goleak"
 	"go.uber.org/zap"
+
+	"github.com/burdockrudder/burdockrudder/internal/dispatch/messenger"
+	"github.com/burdockrudder/burdockrudder/internal/edge/translator"
 )
 
 func testRunner(t *testing.T, deployment string, fault Fault, takeOut bool) *Runner {
@@ -58,6 +61,7 @@
 			}
 			if test.fault == FaultNone && report.Complete != report.Jobs {
 				t.Errorf("seed %d: %d of %d jobs complete without a fault", r.Seed, report.Complete, report.Jobs)
+				logIncomplete(t, r)
 			}
 		})
 	}
@@ -102,3 +106,19 @@
 		t.Errorf("offered %.3f of the capacity, want %.3f", offered, share)
 	}
 }
+
+// logIncomplete shows why jobs did not end complete.
+func logIncomplete(t *testing.T, r *Runner) {
+	t.Helper()
+	for _, got := range r.clients.results {
+		if got.answered && got.outcome.Status == translator.StatusComplete {
+			continue
+		}
+		t.Logf("%s: %s %s, %v", r.jobs[got.job].id, got.outcome.Status, got.outcome.Reason, got.refused)
+		for i, task := range got.outcome.Tasks {
+			if task.State != messenger.TaskSucceeded {
+				t.Logf("task %d: %s %s", i, task.State, task.Reason)
+			}
+		}
+	}
+}
--- a/internal/standin/executor/serve.go
+++ b/internal/standin/executor/serve.go
@@ -18,13 +18,16 @@
 const (
 	announceEvery   = time.Second
 	announceTimeout = time.Second
+	// headerTimeout is long, because a connection that is closed while a task is
+	// being sent leaves the task in doubt: on a busy machine 1 s was too short.
+	headerTimeout = 30 * time.Second
 	// stopTimeout bounds a graceful stop. It is above the longest run time in use.
 	stopTimeout = 30 * time.Second
 )
 
 // Run serves until ctx ends, and then departs and lets running tasks finish.
 func (e *Endpoint) Run(ctx context.Context, listener net.Listener) error {
-	server := &http.Server{Handler: e.Handler(), ConnState: e.track, ReadHeaderTimeout: announceTimeout}
+	server := &http.Server{Handler: e.Handler(), ConnState: e.track, ReadHeaderTimeout: headerTimeout}
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error {
 		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
