--- a/internal/platform/journaler/writer.go
+++ b/internal/platform/journaler/writer.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/burdockrudder/burdockrudder/internal/dispatch/coordinator"
 	"github.com/burdockrudder/burdockrudder/internal/dispatch/messenger"
@@ -20,24 +21,42 @@
 	maxOutcomeBackoff = time.Second
 )
 
-// write runs one transaction after the other.
-func (j *Journal) write(ctx context.Context, wake <-chan struct{}) error {
+// write starts the transactions. One goroutine takes the tokens of the budget, so
+// that a token is spent only when there are rows for it: with one waiter per
+// transaction in progress, each row woke all of them and cost a token each.
+func (j *Journal) write(ctx context.Context, group *errgroup.Group) error {
+	slots := make(chan struct{}, maxInProgress)
 	for {
 		ready, next := j.readyToWrite()
 		if !ready {
-			if err := pause(ctx, next, wake); err != nil {
+			if err := pause(ctx, next, j.wake); err != nil {
 				return err
 			}
 			continue
 		}
-		if err := j.budget.Wait(ctx); err != nil {
+		if err := j.admitTransaction(ctx, slots); err != nil {
 			return err
 		}
 		// Rows that arrived during the wait for the budget join the batch.
-		if batch := j.takeWrites(); len(batch) > 0 {
-			j.transact(ctx, batch)
-		}
+		batch := j.takeWrites()
+		group.Go(func() error {
+			defer func() { <-slots }()
+			if len(batch) > 0 {
+				j.transact(ctx, batch)
+			}
+			return nil
+		})
+	}
+}
+
+// admitTransaction waits for a free slot and for the budget.
+func (j *Journal) admitTransaction(ctx context.Context, slots chan<- struct{}) error {
+	select {
+	case slots <- struct{}{}:
+	case <-ctx.Done():
+		return ctx.Err()
 	}
+	return j.budget.Wait(ctx)
 }
 
 // readyToWrite returns whether a row is due, else when the next one is.
