--- a/internal/platform/journaler/journal.go
+++ b/internal/platform/journaler/journal.go
@@ -31,9 +31,8 @@
 )
 
 const (
-	// maxInProgress bounds the transactions in progress. Two were too few: with a
-	// write of 4.5 ms and 300 writes/s, the next start waited for a free one.
-	maxInProgress = 4
+	// writers is how many transactions may be in progress at a time.
+	writers = 2
 	// burst lets a lone write start at once while another is in progress.
 	burst = 2
 )
@@ -60,7 +59,7 @@
 
 	once   sync.Once
 	budget *rate.Limiter
-	wake   chan struct{}
+	wake   [writers]chan struct{}
 	read   chan struct{}
 	expire chan struct{}
 
@@ -113,7 +112,9 @@
 func (j *Journal) Run(ctx context.Context) error {
 	j.prepare()
 	group, ctx := errgroup.WithContext(ctx)
-	group.Go(func() error { return j.write(ctx, group) })
+	for i := range writers {
+		group.Go(func() error { return j.write(ctx, j.wake[i]) })
+	}
 	group.Go(func() error { return j.lookUp(ctx) })
 	group.Go(func() error { return j.watchPatience(ctx) })
 	if err := group.Wait(); !errors.Is(err, context.Canceled) {
@@ -147,7 +148,9 @@
 		j.random = rand.New(rand.NewPCG(j.Seed, 2))
 		j.read = make(chan struct{}, 1)
 		j.expire = make(chan struct{}, 1)
-		j.wake = make(chan struct{}, 1)
+		for i := range j.wake {
+			j.wake[i] = make(chan struct{}, 1)
+		}
 	})
 }
 
@@ -165,7 +168,7 @@
 }
 
 func (j *Journal) signal() {
-	for _, wake := range []chan struct{}{j.wake, j.read, j.expire} {
+	for _, wake := range []chan struct{}{j.wake[0], j.wake[1], j.read, j.expire} {
 		select {
 		case wake <- struct{}{}:
 		default:
--- a/internal/platform/journaler/journal_test.go
+++ b/internal/platform/journaler/journal_test.go
@@ -97,8 +97,8 @@
 			journal.CommitIntent(intent(i, "e1~1"))
 		}
 		time.Sleep(time.Second)
-		// The burst may start while the rows arrive; all others wait for the next.
-		if len(events.settled()) != 100 || keeper.Transactions() > burst+1 {
+		// Two may start while the rows arrive; all others wait for the third.
+		if len(events.settled()) != 100 || keeper.Transactions() > writers+1 {
 			t.Errorf("%d settled in %d transactions", len(events.settled()), keeper.Transactions())
 		}
 	})
--- a/internal/platform/journaler/writer.go
+++ b/internal/platform/journaler/writer.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"go.uber.org/zap"
-	"golang.org/x/sync/errgroup"
 
 	"github.com/burdockrudder/burdockrudder/internal/dispatch/coordinator"
 	"github.com/burdockrudder/burdockrudder/internal/dispatch/messenger"
@@ -21,42 +20,24 @@
 	maxOutcomeBackoff = time.Second
 )
 
-// write starts the transactions. One goroutine takes the tokens of the budget, so
-// that a token is spent only when there are rows for it: with one waiter per
-// transaction in progress, each row woke all of them and cost a token each.
-func (j *Journal) write(ctx context.Context, group *errgroup.Group) error {
-	slots := make(chan struct{}, maxInProgress)
+// write runs one transaction after the other.
+func (j *Journal) write(ctx context.Context, wake <-chan struct{}) error {
 	for {
 		ready, next := j.readyToWrite()
 		if !ready {
-			if err := pause(ctx, next, j.wake); err != nil {
+			if err := pause(ctx, next, wake); err != nil {
 				return err
 			}
 			continue
 		}
-		if err := j.admitTransaction(ctx, slots); err != nil {
+		if err := j.budget.Wait(ctx); err != nil {
 			return err
 		}
 		// Rows that arrived during the wait for the budget join the batch.
-		batch := j.takeWrites()
-		group.Go(func() error {
-			defer func() { <-slots }()
-			if len(batch) > 0 {
-				j.transact(ctx, batch)
-			}
-			return nil
-		})
-	}
-}
-
-// admitTransaction waits for a free slot and for the budget.
-func (j *Journal) admitTransaction(ctx context.Context, slots chan<- struct{}) error {
-	select {
-	case slots <- struct{}{}:
-	case <-ctx.Done():
-		return ctx.Err()
+		if batch := j.takeWrites(); len(batch) > 0 {
+			j.transact(ctx, batch)
+		}
 	}
-	return j.budget.Wait(ctx)
 }
 
 // readyToWrite returns whether a row is due, else when the next one is.
