Let the Go client draw tickets, and measure them against own ids

Cause: a submission with an own id waits for a synced write, and in a store outage for the store. Tickets need neither, but no client used them.

The client sends a ticket to its issuer first and replaces it only if nothing was sent under it, or the issuer refused it as not run.

--- a/internal/command/starter/demo.go
+++ b/internal/command/starter/demo.go
@@ -24,6 +24,7 @@
 type demoFlags struct {
 	deployment string
 	fault      string
+	ids        string
 	report     string
 	logLevel   string
 	seed       uint64
@@ -49,6 +50,7 @@
 	f := command.Flags()
 	f.StringVar(&flags.deployment, "deployment", "lamis", "deployment: "+strings.Join(runner.Deployments, ", "))
 	f.StringVar(&flags.fault, "fault", string(runner.FaultNone), fmt.Sprintf("fault to inject, one of %q", runner.Faults))
+	f.StringVar(&flags.ids, "ids", string(runner.IDsOwn), "submission ids: own (chosen by the clients) or tickets")
 	f.StringVar(&flags.report, "report", "", "write the report to this file as one JSON object")
 	f.StringVar(&flags.logLevel, "log-level", "error", "log level of the processes: debug, info, warn, error")
 	f.Uint64Var(&flags.seed, "seed", defaultDemoSeed, "seed of the load and of the decisions")
@@ -74,6 +76,9 @@
 	if _, err := runner.ParseFault(f.fault); err != nil {
 		findings = append(findings, fmt.Errorf("--fault: %w", err))
 	}
+	if _, err := runner.ParseIDs(f.ids); err != nil {
+		findings = append(findings, fmt.Errorf("--ids: %w", err))
+	}
 	return errors.Join(findings...)
 }
 
@@ -96,6 +101,7 @@
 		Jobs:       flags.jobs,
 		Load:       flags.load,
 		Fault:      runner.Fault(flags.fault),
+		IDs:        runner.IDs(flags.ids),
 		TakeOut:    flags.takeOut,
 		Logger:     logger,
 	}
--- a/internal/demo/runner/clients.go
+++ b/internal/demo/runner/clients.go
@@ -27,6 +27,8 @@
 	retryPause = 500 * time.Millisecond
 	// patience is how long a client goes on asking for its answer.
 	patience = 40 * time.Second
+	// ticketBlock is how many tickets a client keeps per entry.
+	ticketBlock = 20
 )
 
 // delayedTransport adds the one-way delay between clients and entries.
@@ -46,6 +48,7 @@
 // result is what a client got.
 type result struct {
 	job      int
+	id       string
 	outcome  translator.Outcome
 	answered bool
 	refused  error
@@ -57,22 +60,60 @@
 	cluster *cluster
 	began   time.Time
 	http    *http.Client
+	// holders draw the ids of the jobs, one per entry; empty without tickets.
+	holders []*caller.Client
 
 	mu      sync.Mutex
+	ids     map[int]string
 	results []result
 	// repeated holds the outcomes that resubmissions got, by job.
 	repeated map[int][]translator.Outcome
 }
 
-func newClients(c *cluster) *clients {
+func newClients(c *cluster, ids IDs) *clients {
 	inner := http.DefaultTransport.(*http.Transport).Clone()
 	const idle = 256
 	inner.MaxIdleConnsPerHost = idle
-	return &clients{
+	all := &clients{
 		cluster:  c,
 		http:     &http.Client{Transport: delayedTransport{delay: c.deployment.ClientDelay, inner: inner}},
+		ids:      make(map[int]string),
 		repeated: make(map[int][]translator.Outcome),
 	}
+	if ids == IDsTickets {
+		for i := range c.entries {
+			holder := all.client(i, callerSecret)
+			holder.TicketBlock = ticketBlock
+			all.holders = append(all.holders, holder)
+		}
+	}
+	return all
+}
+
+// submitter returns the client for a try.
+func (c *clients) submitter(number int) *caller.Client {
+	if len(c.holders) > 0 {
+		return c.holders[number%len(c.holders)]
+	}
+	return c.client(number, callerSecret)
+}
+
+// newID draws the id of a job that is certain not to have run under an earlier one.
+func (c *clients) newID(ctx context.Context, number int, job plannedJob, client *caller.Client) string {
+	id := job.id
+	if len(c.holders) > 0 {
+		id = client.NewID(ctx, c.cluster.deployment.Firm, c.cluster.deployment.Service)
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.ids[number] = id
+	return id
+}
+
+func (c *clients) idOf(number int) string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.ids[number]
 }
 
 // client returns a client that tries the entries from a given one on.
@@ -85,9 +126,9 @@
 	return client
 }
 
-func jobBody(job plannedJob) translator.Job {
+func jobBody(job plannedJob, id string) translator.Job {
 	body := translator.Job{Options: translator.Options{
-		ID: job.id, Deadline: resolver.Duration(jobDeadline),
+		ID: id, Deadline: resolver.Duration(jobDeadline),
 	}}
 	if job.high {
 		body.Priority = "high"
@@ -105,14 +146,21 @@
 func (c *clients) submit(ctx context.Context, number int, job plannedJob) {
 	ctx, cancel := context.WithTimeout(ctx, patience)
 	defer cancel()
-	r := result{job: number}
+	r := result{job: number, id: c.newID(ctx, number, job, c.submitter(number))}
+	uncertain := false
 	for try := 0; ; try++ {
-		outcome, err := c.client(number+try, callerSecret).SubmitJob(ctx, c.cluster.deployment.Firm, c.cluster.deployment.Service, jobBody(job))
+		client := c.submitter(number + try)
+		if try > 0 && !uncertain {
+			r.id = c.newID(ctx, number, job, client)
+		}
+		outcome, err := client.SubmitJob(ctx, c.cluster.deployment.Firm, c.cluster.deployment.Service, jobBody(job, r.id))
 		if err == nil {
 			r.outcome, r.answered = outcome, true
 			break
 		}
 		r.refused = err
+		var unknown *caller.UnknownError
+		uncertain = uncertain || errors.As(err, &unknown)
 		if !mayRetry(err) || !pause(ctx, retryPause) {
 			break
 		}
@@ -158,7 +206,7 @@
 		return
 	}
 	client := c.client(number+1, callerSecret)
-	outcome, err := client.SubmitJob(ctx, c.cluster.deployment.Firm, c.cluster.deployment.Service, jobBody(job))
+	outcome, err := client.SubmitJob(ctx, c.cluster.deployment.Firm, c.cluster.deployment.Service, jobBody(job, c.idOf(number)))
 	if err != nil {
 		return
 	}
@@ -175,11 +223,11 @@
 		if !r.answered {
 			continue
 		}
-		if r.outcome.Status == translator.StatusComplete && !whole(jobs[r.job], r.outcome) {
+		if r.outcome.Status == translator.StatusComplete && !whole(jobs[r.job], r) {
 			wrong++
 		}
 		for _, repeated := range c.repeated[r.job] {
-			if !cmp.Equal(repeated, r.outcome) {
+			if repeated.ID == r.id && !cmp.Equal(repeated, r.outcome) {
 				wrong++
 			}
 		}
@@ -187,11 +235,11 @@
 	return wrong
 }
 
-func whole(job plannedJob, outcome translator.Outcome) bool {
-	if outcome.ID != job.id || len(outcome.Tasks) != len(job.tasks) {
+func whole(job plannedJob, r result) bool {
+	if r.outcome.ID != r.id || len(r.outcome.Tasks) != len(job.tasks) {
 		return false
 	}
-	for i, task := range outcome.Tasks {
+	for i, task := range r.outcome.Tasks {
 		if task.State != messenger.TaskSucceeded || !echoes(task.Result, job.tasks[i].echo) {
 			return false
 		}
--- a/internal/demo/runner/measure.go
+++ b/internal/demo/runner/measure.go
@@ -1,6 +1,7 @@
 package runner
 
 import (
+	"slices"
 	"strings"
 	"time"
 
@@ -22,6 +23,7 @@
 	report := &Report{
 		Deployment: r.Deployment.Firm,
 		Fault:      string(r.Fault),
+		IDs:        string(r.IDs),
 		Seed:       r.Seed,
 		Load:       r.Load,
 		Jobs:       len(r.jobs),
@@ -91,7 +93,7 @@
 		for i, task := range got.outcome.Tasks {
 			key := messenger.TaskKey{
 				Submission: messenger.SubmissionKey{
-					Firm: r.Deployment.Firm, Service: r.Deployment.Service, ID: r.jobs[got.job].id,
+					Firm: r.Deployment.Firm, Service: r.Deployment.Service, ID: got.id,
 				},
 				Index: i,
 			}
@@ -105,6 +107,7 @@
 
 func (r *Runner) measureResponse(report *Report, ideal scorer.Schedule) error {
 	all, high := scorer.NewRatios(), scorer.NewRatios()
+	var added []time.Duration
 	for _, got := range r.clients.results {
 		if !got.answered || got.outcome.Status != translator.StatusComplete {
 			continue
@@ -112,6 +115,7 @@
 		if err := all.Add(got.response, ideal.Response[got.job]); err != nil {
 			return err
 		}
+		added = append(added, got.response-ideal.Response[got.job])
 		if !r.jobs[got.job].high {
 			continue
 		}
@@ -119,6 +123,10 @@
 			return err
 		}
 	}
+	if len(added) > 0 {
+		slices.Sort(added)
+		report.AddedP50MS = float64(added[len(added)/2].Microseconds()) / 1000
+	}
 	report.ResponseOverIdealP50 = all.Percentile(50)
 	report.ResponseOverIdealP90 = all.Percentile(90)
 	report.ResponseOverIdealP99 = all.Percentile(99)
@@ -181,7 +189,8 @@
 	}
 	// The calls to the endpoints and of the callers are one call and one answer each.
 	messages.Work += 2*report.TaskStarts + 2*uint64(len(r.clients.results))
-	messages.Store = 2 * r.cluster.keeper.Transactions()
+	report.StoreTransactions = r.cluster.keeper.Transactions()
+	messages.Store = 2 * report.StoreTransactions
 	report.WastedMessagesPerStart, report.WastedMessagesPerStartNoStore = messages.WastedPerStart()
 	seconds := time.Since(r.clients.began).Seconds()
 	report.ControlBytesPerSecond = float64(agentControl) / seconds / float64(len(r.cluster.agents))
--- a/internal/demo/runner/report.go
+++ b/internal/demo/runner/report.go
@@ -12,6 +12,7 @@
 type Report struct {
 	Deployment string  `json:"deployment"`
 	Fault      string  `json:"fault"`
+	IDs        string  `json:"ids"`
 	Seed       uint64  `json:"seed"`
 	Load       float64 `json:"load"`
 
@@ -33,11 +34,15 @@
 	// SlotViolations counts calls above the slots or connections of an endpoint.
 	SlotViolations uint64 `json:"slot_violations"`
 
+	// AddedP50MS is the median of response minus ideal.
+	AddedP50MS               float64 `json:"added_p50_ms"`
 	ResponseOverIdealP50     float64 `json:"response_over_ideal_p50"`
 	ResponseOverIdealP90     float64 `json:"response_over_ideal_p90"`
 	ResponseOverIdealP99     float64 `json:"response_over_ideal_p99"`
 	HighResponseOverIdealP50 float64 `json:"high_response_over_ideal_p50"`
 	HighResponseOverIdealP99 float64 `json:"high_response_over_ideal_p99"`
+	// StoreTransactions counts all writes to the table, also those of the leases.
+	StoreTransactions uint64 `json:"store_transactions"`
 	// WastedMessagesPerStart includes the messages to the store.
 	WastedMessagesPerStart        float64 `json:"wasted_messages_per_start"`
 	WastedMessagesPerStartNoStore float64 `json:"wasted_messages_per_start_without_store"`
@@ -74,6 +79,7 @@
 	}{
 		{"deployment", r.Deployment},
 		{"fault", r.Fault},
+		{"ids", r.IDs},
 		{"seed", r.Seed},
 		{"jobs", r.Jobs},
 		{"complete", r.Complete},
@@ -85,11 +91,13 @@
 		{"starts after take-out", r.StartsAfterTakeOut},
 		{"wrong answers", r.WrongAnswers},
 		{"untrue not_run", r.UntrueNotRun},
+		{"response minus ideal p50", fmt.Sprintf("%.1f ms", r.AddedP50MS)},
 		{"response over ideal p50", ratio(r.ResponseOverIdealP50)},
 		{"response over ideal p90", ratio(r.ResponseOverIdealP90)},
 		{"response over ideal p99", ratio(r.ResponseOverIdealP99)},
 		{"  high priority p50", ratio(r.HighResponseOverIdealP50)},
 		{"  high priority p99", ratio(r.HighResponseOverIdealP99)},
+		{"store transactions", r.StoreTransactions},
 		{"wasted messages per start", ratio(r.WastedMessagesPerStart)},
 		{"  without the store", ratio(r.WastedMessagesPerStartNoStore)},
 		{"work ratio through take-out", ratio(r.TakeOutWorkRatio)},
--- a/internal/demo/runner/runner.go
+++ b/internal/demo/runner/runner.go
@@ -24,6 +24,8 @@
 	// Load is the offered work as a share of the capacity.
 	Load  float64
 	Fault Fault
+	// IDs says where the clients take their submission ids from.
+	IDs IDs
 	// TakeOut takes a failure domain out and brings it back.
 	TakeOut bool
 	// Progress gets a line per second; nil means none.
@@ -37,6 +39,25 @@
 	takeOut domainTimes
 }
 
+// IDs names the source of the clients' submission ids.
+type IDs string
+
+// The sources of ids.
+const (
+	// IDsOwn are chosen by the clients and need a write before the start.
+	IDsOwn IDs = "own"
+	// IDsTickets are handed out by the entries and need none.
+	IDsTickets IDs = "tickets"
+)
+
+// ParseIDs returns the source of ids with a name.
+func ParseIDs(name string) (IDs, error) {
+	if ids := IDs(name); ids == IDsOwn || ids == IDsTickets {
+		return ids, nil
+	}
+	return "", fmt.Errorf("unknown source of ids %q, want %q or %q", name, IDsOwn, IDsTickets)
+}
+
 // domainTimes are the moments of a take-out, since the start of the load.
 type domainTimes struct {
 	accepted, returned time.Duration
@@ -67,7 +88,7 @@
 	}
 	r.cluster = cluster
 	r.jobs = planLoad(r.Deployment, r.Seed, r.Jobs, r.Load)
-	r.clients = newClients(cluster)
+	r.clients = newClients(cluster, r.IDs)
 	if err := r.load(ctx); err != nil {
 		return nil, err
 	}
--- a/internal/edge/caller/client.go
+++ b/internal/edge/caller/client.go
@@ -29,6 +29,11 @@
 	Key string
 	// HTTP sends the requests; nil means http.DefaultClient.
 	HTTP *http.Client
+	// TicketBlock is how many tickets are asked for at a time, for submissions
+	// without an own id. Zero means random ids, which need a write to the store.
+	TicketBlock int
+
+	tickets ticketStore
 }
 
 // UnknownError reports that a call may or may not have taken effect. Repeating a
@@ -69,22 +74,23 @@
 	body   []byte
 }
 
-// do sends the call to one entry after the other. After a try that may have
+// do sends the call to one entry after the other and returns the one that has
+// answered. After a try that may have
 // taken effect, a refusal by the next entry says nothing about that try, so it
 // is reported as an UnknownError.
-func (c *Client) do(ctx context.Context, request call, target any) error {
+func (c *Client) do(ctx context.Context, servers []string, request call, target any) (server string, err error) {
 	body, err := request.encode()
 	if err != nil {
-		return err
+		return "", err
 	}
-	if len(c.Servers) == 0 {
-		return errors.New("no server is configured")
+	if len(servers) == 0 {
+		return "", errors.New("no server is configured")
 	}
 	arrived := false
-	for _, server := range c.Servers {
+	for _, server := range servers {
 		got, tryErr := c.send(ctx, server, request, body)
 		if tryErr == nil {
-			return decodeReply(got, target)
+			return server, decodeReply(got, target)
 		}
 		err = moreTelling(err, tryErr)
 		arrived = arrived || mayHaveArrived(err)
@@ -93,11 +99,17 @@
 		}
 	}
 	if request.method == http.MethodGet {
-		return err
+		return "", err
 	}
 	if arrived && (mayHaveArrived(err) || refusesOnlyThisTry(err)) {
-		return &UnknownError{Err: err}
+		return "", &UnknownError{Err: err}
 	}
+	return "", err
+}
+
+// call sends a call to the configured servers.
+func (c *Client) call(ctx context.Context, request call, target any) error {
+	_, err := c.do(ctx, c.Servers, request, target)
 	return err
 }
 
--- a/internal/edge/caller/jobs.go
+++ b/internal/edge/caller/jobs.go
@@ -12,27 +12,44 @@
 
 // SubmitJob submits a job and returns its outcome, or its id with the status
 // in_progress if job.Wait is false. An absent id is drawn before the first try,
-// so that every try names the same submission.
+// so that every try names the same submission. Another id is drawn only if it is
+// certain that nothing ran under the first one.
 func (c *Client) SubmitJob(ctx context.Context, firm, service string, job translator.Job) (translator.Outcome, error) {
-	drawID(&job.ID)
-	return c.submit(ctx, servicePath(firm, service, "/jobs"), job.ID, job)
+	return c.submitNew(ctx, firm, service, job.ID, func(id string) call {
+		job.ID = id
+		return call{method: http.MethodPost, path: servicePath(firm, service, "/jobs"), body: job}
+	})
 }
 
 // SubmitRequest submits a request, as SubmitJob does a job.
 func (c *Client) SubmitRequest(ctx context.Context, firm, service string, request translator.Request) (translator.Outcome, error) {
-	drawID(&request.ID)
-	return c.submit(ctx, servicePath(firm, service, "/requests"), request.ID, request)
+	return c.submitNew(ctx, firm, service, request.ID, func(id string) call {
+		request.ID = id
+		return call{method: http.MethodPost, path: servicePath(firm, service, "/requests"), body: request}
+	})
 }
 
-func drawID(id *string) {
-	if *id == "" {
-		*id = rand.Text()
+// submitNew submits under the given id, or under a new one.
+func (c *Client) submitNew(ctx context.Context, firm, service, id string, build func(id string) call) (translator.Outcome, error) {
+	if id != "" {
+		return c.submit(ctx, id, build(id))
 	}
+	id = c.NewID(ctx, firm, service)
+	outcome, err := c.submit(ctx, id, build(id))
+	if err == nil || c.TicketBlock <= 0 || !ranNothing(err) || ctx.Err() != nil {
+		return outcome, err
+	}
+	// The issuer of the ticket is gone or leaving; any entry takes a random id.
+	id = rand.Text()
+	return c.submit(ctx, id, build(id))
 }
 
-func (c *Client) submit(ctx context.Context, path, id string, body any) (translator.Outcome, error) {
+func (c *Client) submit(ctx context.Context, id string, request call) (translator.Outcome, error) {
 	var outcome translator.Outcome
-	err := c.do(ctx, call{method: http.MethodPost, path: path, body: body}, &outcome)
+	_, err := c.do(ctx, c.tickets.route(id, c.Servers), request, &outcome)
+	if ranNothing(err) {
+		c.tickets.forget(id)
+	}
 	var unknown *UnknownError
 	if errors.As(err, &unknown) {
 		unknown.ID = id
@@ -48,7 +65,7 @@
 		path += "?wait=true"
 	}
 	var outcome translator.Outcome
-	err := c.do(ctx, call{method: http.MethodGet, path: path}, &outcome)
+	err := c.call(ctx, call{method: http.MethodGet, path: path}, &outcome)
 	return outcome, err
 }
 
@@ -59,7 +76,7 @@
 // Cancel cancels one submission and returns how many were found.
 func (c *Client) Cancel(ctx context.Context, firm, service, id string) (translator.Cancelled, error) {
 	var cancelled translator.Cancelled
-	err := c.do(ctx, call{method: http.MethodDelete, path: jobPath(firm, service, id)}, &cancelled)
+	err := c.call(ctx, call{method: http.MethodDelete, path: jobPath(firm, service, id)}, &cancelled)
 	return cancelled, err
 }
 
@@ -67,14 +84,18 @@
 func (c *Client) CancelPrefix(ctx context.Context, firm, service, prefix string) (translator.Cancelled, error) {
 	var cancelled translator.Cancelled
 	path := servicePath(firm, service, "/cancel")
-	err := c.do(ctx, call{method: http.MethodPost, path: path, body: translator.CancelPrefix{Prefix: prefix}}, &cancelled)
+	err := c.call(ctx, call{method: http.MethodPost, path: path, body: translator.CancelPrefix{Prefix: prefix}}, &cancelled)
 	return cancelled, err
 }
 
 // Tickets asks for a block of submission ids.
 func (c *Client) Tickets(ctx context.Context, firm, service string, count int) (translator.Tickets, error) {
 	var tickets translator.Tickets
-	path := servicePath(firm, service, "/tickets")
-	err := c.do(ctx, call{method: http.MethodPost, path: path, body: translator.TicketCount{Count: count}}, &tickets)
+	err := c.call(ctx, ticketsCall(firm, service, count), &tickets)
 	return tickets, err
 }
+
+func ticketsCall(firm, service string, count int) call {
+	path := servicePath(firm, service, "/tickets")
+	return call{method: http.MethodPost, path: path, body: translator.TicketCount{Count: count}}
+}
--- a/internal/edge/caller/operate.go
+++ b/internal/edge/caller/operate.go
@@ -57,14 +57,14 @@
 	header.Set(translator.ReasonHeader, reason)
 	var settings translator.Settings
 	request := call{method: http.MethodPut, path: "/v1/settings", header: header, raw: text, once: true}
-	err := c.do(ctx, request, &settings)
+	err := c.call(ctx, request, &settings)
 	return settings, err
 }
 
 // ValidateSettings returns the faults of a settings text.
 func (c *Client) ValidateSettings(ctx context.Context, text []byte) (translator.Findings, error) {
 	var findings translator.Findings
-	err := c.do(ctx, call{method: http.MethodPost, path: "/v1/settings/validate", raw: text}, &findings)
+	err := c.call(ctx, call{method: http.MethodPost, path: "/v1/settings/validate", raw: text}, &findings)
 	return findings, err
 }
 
@@ -81,7 +81,7 @@
 func (c *Client) changeDomain(ctx context.Context, firm, place, domain, verb, reason string) (translator.DomainChanged, error) {
 	var changed translator.DomainChanged
 	path := domainsPath(firm, place) + "/" + url.PathEscape(domain) + "/" + verb
-	err := c.do(ctx, call{method: http.MethodPost, path: path, body: translator.DomainChange{Reason: reason}}, &changed)
+	err := c.call(ctx, call{method: http.MethodPost, path: path, body: translator.DomainChange{Reason: reason}}, &changed)
 	return changed, err
 }
 
@@ -111,5 +111,5 @@
 }
 
 func (c *Client) get(ctx context.Context, path string, target any) error {
-	return c.do(ctx, call{method: http.MethodGet, path: path}, target)
+	return c.call(ctx, call{method: http.MethodGet, path: path}, target)
 }
--- /dev/null
+++ b/internal/edge/caller/tickets.go
@@ -0,0 +1,135 @@
+package caller
+
+import (
+	"context"
+	"crypto/rand"
+	"errors"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/burdockrudder/burdockrudder/internal/edge/translator"
+)
+
+// maxTicketAge is half of the time for which an entry honours its tickets.
+const maxTicketAge = 5 * time.Minute
+
+// serviceName names the service that tickets are for.
+type serviceName struct{ firm, service string }
+
+// ticket is an id that one entry handed out and that was not used yet.
+type ticket struct {
+	id, server string
+	drawnAt    time.Time
+}
+
+// ticketStore keeps the tickets of a client. Its zero value is ready for use.
+type ticketStore struct {
+	mu     sync.Mutex
+	unused map[serviceName][]ticket
+	// issuers holds the servers by the part of the id that names the incarnation.
+	issuers map[string]string
+	// unsent holds ids that were handed to the caller and never sent.
+	unsent map[string]bool
+}
+
+// NewID returns an id for a submission that was not sent yet: a ticket if
+// TicketBlock is set and an entry hands out tickets, otherwise a random id.
+func (c *Client) NewID(ctx context.Context, firm, service string) string {
+	if c.TicketBlock <= 0 {
+		return rand.Text()
+	}
+	name := serviceName{firm, service}
+	if id, ok := c.tickets.take(name); ok {
+		return id
+	}
+	var tickets translator.Tickets
+	request := ticketsCall(firm, service, c.TicketBlock)
+	server, err := c.do(ctx, c.Servers, request, &tickets)
+	if err != nil {
+		return rand.Text()
+	}
+	c.tickets.add(name, server, tickets.IDs)
+	if id, ok := c.tickets.take(name); ok {
+		return id
+	}
+	return rand.Text()
+}
+
+// take returns an unused ticket that is not too old.
+func (s *ticketStore) take(name serviceName) (string, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for len(s.unused[name]) > 0 {
+		next := s.unused[name][0]
+		s.unused[name] = s.unused[name][1:]
+		if time.Since(next.drawnAt) < maxTicketAge {
+			s.unsent[next.id] = true
+			return next.id, true
+		}
+	}
+	return "", false
+}
+
+func (s *ticketStore) add(name serviceName, server string, ids []string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.unused == nil {
+		s.unused = make(map[serviceName][]ticket)
+		s.issuers = make(map[string]string)
+		s.unsent = make(map[string]bool)
+	}
+	for _, id := range ids {
+		s.unused[name] = append(s.unused[name], ticket{id: id, server: server, drawnAt: time.Now()})
+		s.issuers[issuerOf(id)] = server
+	}
+}
+
+// issuerOf returns the part of a ticket that names the issuing incarnation.
+func issuerOf(id string) string {
+	return id[:max(0, strings.LastIndexByte(id, '.'))]
+}
+
+// route returns the servers for a submission. A ticket goes to its issuer first,
+// which saves the forwarding. Its first try goes nowhere else: if the issuer
+// cannot be reached, the ticket is certain not to have been used.
+func (s *ticketStore) route(id string, servers []string) []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	issuer, known := s.issuers[issuerOf(id)]
+	if !known {
+		return servers
+	}
+	if s.unsent[id] {
+		delete(s.unsent, id)
+		return []string{issuer}
+	}
+	rest := slices.DeleteFunc(slices.Clone(servers), func(server string) bool { return server == issuer })
+	return append([]string{issuer}, rest...)
+}
+
+// forget drops the unused tickets of the server that issued id.
+func (s *ticketStore) forget(id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	issuer, known := s.issuers[issuerOf(id)]
+	if !known {
+		return
+	}
+	for name, tickets := range s.unused {
+		s.unused[name] = slices.DeleteFunc(tickets, func(t ticket) bool { return t.server == issuer })
+	}
+}
+
+// ranNothing is whether err proves that the submission did not start and that no
+// entry knows it, provided that this was its first try.
+func ranNothing(err error) bool {
+	var notSent *notSentError
+	if errors.As(err, &notSent) {
+		return true
+	}
+	var unknown *UnknownError
+	var fault *translator.Error
+	return !errors.As(err, &unknown) && errors.As(err, &fault) && fault.Code == translator.CodeNotRun
+}
