Bound the results of a job and end refused outcome rows

Cause: 210 results of up to 256 KiB exceed the 4 MiB of a table value.

A row that is refused is reported with OutcomeSettled.Refused and replaced by a failed outcome without results. If the table takes no row, the answer is outcome_unknown and the submission stays in memory, since it could otherwise run again under its intent row.

--- a/internal/dispatch/coordinator/admit.go
+++ b/internal/dispatch/coordinator/admit.go
@@ -171,6 +171,8 @@
 
 func (s *State) join(w waiter, j *job) {
 	switch {
+	case j.unrecorded != "" && !j.told:
+		s.replyRefusal(w, j.submission.Key, messenger.CodeOutcomeUnknown, j.unrecorded)
 	case j.told || j.lifeCycle.Is(jobSettled):
 		s.reply(w, OutcomeAnswer{Outcome: j.outcome})
 	case w.wait:
--- a/internal/dispatch/coordinator/drain.go
+++ b/internal/dispatch/coordinator/drain.go
@@ -26,7 +26,7 @@
 // busy tells whether a caller still waits for an answer that this entry owes.
 func (s *State) busy() bool {
 	for _, j := range s.jobs {
-		if !j.told {
+		if !j.told && j.unrecorded == "" {
 			return true
 		}
 	}
--- a/internal/dispatch/coordinator/effects.go
+++ b/internal/dispatch/coordinator/effects.go
@@ -57,7 +57,8 @@
 }
 
 // CommitOutcome creates an outcome row if there is none. OutcomeSettled follows,
-// with Failed for each try that got no answer; the edge tries until it succeeds.
+// with Failed for each try that got no answer; the edge tries until it succeeds or
+// the table refuses the row.
 type CommitOutcome struct {
 	Outcome messenger.Outcome `json:"outcome"`
 }
--- a/internal/dispatch/coordinator/events.go
+++ b/internal/dispatch/coordinator/events.go
@@ -77,6 +77,9 @@
 	Key messenger.SubmissionKey `json:"key"`
 	// Failed is true if the table gave no answer; the edge goes on trying.
 	Failed bool `json:"failed,omitempty"`
+	// Refused says why the table will never take the row; the edge has stopped
+	// trying, and nothing was written.
+	Refused string `json:"refused,omitempty"`
 	// Outcome is the row in force, which may be another entry's.
 	Outcome *messenger.Outcome `json:"outcome,omitempty"`
 }
--- a/internal/dispatch/coordinator/job.go
+++ b/internal/dispatch/coordinator/job.go
@@ -28,6 +28,10 @@
 	graceEnd time.Time
 	// stopReason is set once the job can only fail; no further task starts.
 	stopReason string
+	// resultBytes is the size of the results so far.
+	resultBytes int
+	// failure is set if the job fails although no task has.
+	failure    string
 	outcome    messenger.Outcome
 	settlingAt time.Time
 	settledAt  time.Time
@@ -36,6 +40,10 @@
 	accepted  []messenger.Incarnation
 	// told is true once the waiters have been answered.
 	told bool
+	// rowRefused is true once the table has refused the outcome row for good.
+	rowRefused bool
+	// unrecorded says why the table takes no outcome row at all.
+	unrecorded string
 }
 
 // taskPhase is where a task is on its way.
--- a/internal/dispatch/coordinator/results.go
+++ b/internal/dispatch/coordinator/results.go
@@ -127,9 +127,11 @@
 		t.class.queue.Remove(t.key())
 	}
 	t.phase = taskDone
+	outcome.Reason = shortReason(outcome.Reason)
 	t.outcome = outcome
 	j := t.job
 	j.open--
+	s.countResult(t)
 	if outcome.State != messenger.TaskSucceeded && j.stopReason == "" {
 		s.stop(j, "another task of the job did not succeed")
 	}
--- a/internal/dispatch/coordinator/script_test.go
+++ b/internal/dispatch/coordinator/script_test.go
@@ -164,8 +164,9 @@
 func scriptTree(t *testing.T, step scripter.Step) resolver.Tree {
 	hedge := resolver.Duration(step.Duration(t, "hedge", 0))
 	retry := step.Float(t, "retry", 0.1)
+	results := step.Int(t, "results", resolver.Defaults().MaxResultBytes)
 	firm := resolver.Firm{
-		Settings: resolver.Overrides{HedgeAfter: &hedge, RetryBudget: &retry},
+		Settings: resolver.Overrides{HedgeAfter: &hedge, RetryBudget: &retry, MaxResultBytes: &results},
 		Teams:    map[string]resolver.Team{"t1": {Weight: 1, MaxWaitingTasks: step.Int(t, "waiting", 0)}},
 		Places:   map[string]resolver.Place{"sahel": {FailureDomains: map[string]resolver.FailureDomain{}}},
 	}
--- a/internal/dispatch/coordinator/script_verbs_test.go
+++ b/internal/dispatch/coordinator/script_verbs_test.go
@@ -90,7 +90,8 @@
 	}
 	switch step.Verb {
 	case "finished":
-		outcome := messenger.TaskOutcome{State: messenger.TaskState(step.Text("state", "succeeded")), Result: []byte("ok")}
+		result := []byte(strings.Repeat("x", step.Int(d.t, "bytes", len("ok"))))
+		outcome := messenger.TaskOutcome{State: messenger.TaskState(step.Text("state", "succeeded")), Result: result}
 		d.receive(from, messenger.Finished{Task: taskNamed(step.Word(1)), Attempt: attempt, Outcome: outcome, Load: load})
 	case "refused":
 		d.receive(from, messenger.Refused{
@@ -170,6 +171,9 @@
 
 func (d *desk) outcome(step scripter.Step) OutcomeSettled {
 	id, status := step.Word(0), step.Word(1)
+	if status == "refused" {
+		return OutcomeSettled{Key: keyNamed(id), Refused: "row too large"}
+	}
 	if status == "lost" {
 		return OutcomeSettled{Key: keyNamed(id), Failed: true}
 	}
--- a/internal/dispatch/coordinator/settle.go
+++ b/internal/dispatch/coordinator/settle.go
@@ -35,6 +35,9 @@
 			outcome.Status = messenger.OutcomeFailed
 		}
 	}
+	if j.failure != "" {
+		return failedOutcome(outcome, j.failure)
+	}
 	if outcome.Status == messenger.OutcomeFailed {
 		outcome.Reason = j.stopReason
 		dropResults(outcome.Tasks)
@@ -52,6 +55,10 @@
 
 // outcomeSettled tells the row in force, whoever has written it.
 func (s *State) outcomeSettled(e OutcomeSettled) {
+	if e.Refused != "" {
+		s.outcomeRefused(e)
+		return
+	}
 	j := s.jobs[e.Key]
 	if e.Failed || e.Outcome == nil {
 		s.storeDown = true
@@ -126,7 +133,8 @@
 // askWitnesses asks agents to keep the outcome, so that it can be told before
 // the store has it. It is asked again while too few have accepted.
 func (s *State) askWitnesses(j *job) {
-	if j.told || len(j.witnesses) >= witnessCount {
+	// Witnesses may still hold the outcome that the table has refused.
+	if j.told || j.rowRefused || len(j.witnesses) >= witnessCount {
 		return
 	}
 	for _, a := range s.chooseWitnesses(j) {
@@ -187,7 +195,7 @@
 // witnessed tells the outcome once enough agents keep it.
 func (s *State) witnessed(from messenger.Incarnation, m messenger.Witnessed) {
 	j := s.jobs[m.Key]
-	if j == nil || !j.lifeCycle.Is(jobSettling) || !slices.Contains(j.witnesses, from) {
+	if j == nil || j.rowRefused || !j.lifeCycle.Is(jobSettling) || !slices.Contains(j.witnesses, from) {
 		return
 	}
 	if !m.Accepted {
--- a/internal/dispatch/coordinator/takeover.go
+++ b/internal/dispatch/coordinator/takeover.go
@@ -20,6 +20,8 @@
 	taken bool
 	// settling is true once the outcome row was asked for.
 	settling bool
+	// rowRefused is true once the table has refused the outcome row for good.
+	rowRefused bool
 }
 
 func (r *remote) digest() string {
--- a/internal/platform/journaler/journal.go
+++ b/internal/platform/journaler/journal.go
@@ -96,7 +96,7 @@
 }
 
 // CommitOutcome queues the creation of an outcome row. It is tried until it
-// succeeds or Run ends.
+// succeeds, the table refuses it or Run ends.
 func (j *Journal) CommitOutcome(effect coordinator.CommitOutcome) {
 	j.prepare()
 	outcome := effect.Outcome
--- a/internal/platform/journaler/journal_test.go
+++ b/internal/platform/journaler/journal_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/burdockrudder/burdockrudder/internal/dispatch/coordinator"
 	"github.com/burdockrudder/burdockrudder/internal/dispatch/messenger"
+	"github.com/burdockrudder/burdockrudder/internal/platform/storer"
 	"github.com/burdockrudder/burdockrudder/internal/standin/tablekeeper"
 )
 
@@ -173,6 +174,33 @@
 	})
 }
 
+// Guards against a row that the table refuses and that is tried for ever, and
+// against rows that are lost because they share its transaction.
+func TestRefusedRowIsReportedOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		journal, events := start(t, newKeeper(), "e1~1")
+		tooLarge := outcome(0, "large")
+		tooLarge.Outcome.Tasks = []messenger.TaskOutcome{{Result: make([]byte, storer.MaxValueBytes)}}
+		journal.CommitOutcome(tooLarge)
+		for i := 1; i < 5; i++ {
+			journal.CommitOutcome(outcome(i, "small"))
+		}
+		time.Sleep(time.Minute)
+		refused := 0
+		for _, e := range events.recorded() {
+			switch {
+			case e.Refused != "" && e.Key == keyOf(0):
+				refused++
+			case e.Outcome == nil:
+				t.Errorf("got %+v", e)
+			}
+		}
+		if refused != 1 || len(events.recorded()) != 5 {
+			t.Errorf("refused %d times, %d events", refused, len(events.recorded()))
+		}
+	})
+}
+
 // Guards against a second outcome that replaces the first.
 func TestFirstOutcomeStaysInForce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/platform/journaler/retry.go
+++ b/internal/platform/journaler/retry.go
@@ -5,6 +5,8 @@
 	"errors"
 	"time"
 
+	"go.uber.org/zap"
+
 	"github.com/burdockrudder/burdockrudder/internal/dispatch/coordinator"
 	"github.com/burdockrudder/burdockrudder/internal/dispatch/messenger"
 	"github.com/burdockrudder/burdockrudder/internal/platform/storer"
@@ -21,13 +23,27 @@
 		return
 	}
 	for _, it := range batch {
-		if it.kind == outcomeItem {
+		switch {
+		case refused:
+			j.refuse(it, err)
+		case it.kind == outcomeItem:
 			j.Emit(coordinator.OutcomeSettled{Key: it.key, Failed: true})
-		} else if refused {
-			j.finish(it, coordinator.IntentSettled{Key: it.key, Failed: true})
 		}
 	}
-	j.requeue(batch)
+	if !refused {
+		j.requeue(batch)
+	}
+}
+
+// refuse reports a row that the table will never take. It is not tried again.
+func (j *Journal) refuse(it *item, err error) {
+	j.Logger.Error("row refused", zap.String("row", it.path), zap.Error(err))
+	j.Metrics.Counter("journal_refused").Inc(1)
+	if it.kind == outcomeItem {
+		j.Emit(coordinator.OutcomeSettled{Key: it.key, Refused: err.Error()})
+		return
+	}
+	j.finish(it, coordinator.IntentSettled{Key: it.key, Failed: true})
 }
 
 // separate queues rows to be tried one by one, to find the one that is refused.
--- a/internal/settings/parser/tree.go
+++ b/internal/settings/parser/tree.go
@@ -111,6 +111,7 @@
 	}
 	inRange(c, at.child("max_tasks"), o.MaxTasks, 1, maxTasks)
 	inRange(c, at.child("max_payload_bytes"), o.MaxPayloadBytes, 1, maxPayloadBytes)
+	inRange(c, at.child("max_result_bytes"), o.MaxResultBytes, 1, resolver.MaxResultBytesLimit)
 	inRange(c, at.child("default_deadline"), o.DefaultDeadline, minDeadline, noMaximum)
 	inRange(c, at.child("max_deadline"), o.MaxDeadline, minDeadline, maxDeadline)
 	inRange(c, at.child("queue_limit"), o.QueueLimit, 0, noMaximum)
--- a/internal/settings/resolver/resolved.go
+++ b/internal/settings/resolver/resolved.go
@@ -30,6 +30,7 @@
 	State           *messenger.DomainState `json:"state,omitempty"`
 	MaxTasks        *int                   `json:"max_tasks,omitempty"`
 	MaxPayloadBytes *int                   `json:"max_payload_bytes,omitempty"`
+	MaxResultBytes  *int                   `json:"max_result_bytes,omitempty"`
 	DefaultDeadline *Duration              `json:"default_deadline,omitempty"`
 	MaxDeadline     *Duration              `json:"max_deadline,omitempty"`
 	QueueLimit      *int                   `json:"queue_limit,omitempty"`
@@ -49,6 +50,8 @@
 	MaxTasks int `json:"max_tasks"`
 	// MaxPayloadBytes bounds the payload of one task.
 	MaxPayloadBytes int `json:"max_payload_bytes"`
+	// MaxResultBytes bounds the results of all tasks of one job.
+	MaxResultBytes int `json:"max_result_bytes"`
 	// DefaultDeadline applies to submissions that name none.
 	DefaultDeadline Duration `json:"default_deadline"`
 	// MaxDeadline bounds the deadline of a submission. Agents keep start records
@@ -70,12 +73,17 @@
 	LogDecisions float64 `json:"log_decisions"`
 }
 
+// MaxResultBytesLimit leaves room in a value of the table, which holds 4 MiB, for
+// the states and the CBOR framing of 210 tasks.
+const MaxResultBytesLimit = 4<<20 - 64<<10
+
 // Defaults returns the settings that apply where no level overrides them.
 func Defaults() Resolved {
 	return Resolved{
 		State:           messenger.DomainIn,
 		MaxTasks:        210,
 		MaxPayloadBytes: 256 << 10,
+		MaxResultBytes:  MaxResultBytesLimit,
 		DefaultDeadline: Duration(30 * time.Second),
 		MaxDeadline:     Duration(5 * time.Minute),
 		QueueLimit:      2,
@@ -93,6 +101,7 @@
 	override(&r.State, o.State)
 	override(&r.MaxTasks, o.MaxTasks)
 	override(&r.MaxPayloadBytes, o.MaxPayloadBytes)
+	override(&r.MaxResultBytes, o.MaxResultBytes)
 	override(&r.DefaultDeadline, o.DefaultDeadline)
 	override(&r.MaxDeadline, o.MaxDeadline)
 	override(&r.QueueLimit, o.QueueLimit)
@@ -160,6 +169,7 @@
 			}
 			strictest.MaxTasks = min(strictest.MaxTasks, r.MaxTasks)
 			strictest.MaxPayloadBytes = min(strictest.MaxPayloadBytes, r.MaxPayloadBytes)
+			strictest.MaxResultBytes = min(strictest.MaxResultBytes, r.MaxResultBytes)
 			strictest.DefaultDeadline = min(strictest.DefaultDeadline, r.DefaultDeadline)
 			strictest.MaxDeadline = min(strictest.MaxDeadline, r.MaxDeadline)
 			strictest.RetryBudget = min(strictest.RetryBudget, r.RetryBudget)
