Try the rows of a refused transaction in halves

Cause: after a refusal every row was tried alone, which costs one transaction of the write budget per row; intents then run out of patience. Several large outcomes in one transaction exceeded the table's 16 MiB and caused it.

Transactions are also bounded to 8 MiB of values.

--- a/internal/platform/journaler/item.go
+++ b/internal/platform/journaler/item.go
@@ -32,9 +32,11 @@
 	deadline  time.Time
 	notBefore time.Time
 	tries     int
-	// alone is set after a transaction was refused, so that one bad row cannot
-	// hold up the others.
-	alone bool
+	// size is about the size of the encoded row.
+	size int
+	// part is set after a transaction was refused: its rows are tried in two
+	// parts, so that one bad row cannot hold up the others.
+	part uint64
 	// done is guarded by the journal's lock.
 	done bool
 }
@@ -53,6 +55,15 @@
 	return table + "/" + url.PathEscape(key.Firm) + "/" + url.PathEscape(key.Service) + "/" + url.PathEscape(key.ID)
 }
 
+// outcomeSize estimates the size of an outcome row from what may be large in it.
+func outcomeSize(outcome messenger.Outcome) int {
+	size := len(outcome.Reason)
+	for _, task := range outcome.Tasks {
+		size += len(task.Result) + len(task.Reason)
+	}
+	return size
+}
+
 func (it *item) put() (storer.Put, error) {
 	value, err := cbor.Marshal(it.body)
 	if err != nil {
--- a/internal/platform/journaler/journal.go
+++ b/internal/platform/journaler/journal.go
@@ -35,6 +35,9 @@
 	writers = 2
 	// burst lets a lone write start at once while another is in progress.
 	burst = 2
+	// maxBatchBytes keeps the body of a transaction, in which values are base64,
+	// below the table's limit of 16 MiB.
+	maxBatchBytes = 8 << 20
 )
 
 // Journal commits rows. Its exported fields are set before Run.
@@ -66,6 +69,7 @@
 	mu       sync.Mutex
 	random   *rand.Rand
 	sequence uint64
+	parts    uint64
 	intents  []*item
 	outcomes []*item
 	lookups  []*item
@@ -100,7 +104,9 @@
 func (j *Journal) CommitOutcome(effect coordinator.CommitOutcome) {
 	j.prepare()
 	outcome := effect.Outcome
-	it := &item{kind: outcomeItem, key: outcome.Key, path: OutcomeKey(outcome.Key), body: outcome}
+	it := &item{
+		kind: outcomeItem, key: outcome.Key, path: OutcomeKey(outcome.Key), body: outcome, size: outcomeSize(outcome),
+	}
 	j.mu.Lock()
 	it.token = j.token()
 	j.outcomes = append(j.outcomes, it)
--- a/internal/platform/journaler/journal_test.go
+++ b/internal/platform/journaler/journal_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -201,6 +202,37 @@
 	})
 }
 
+// Guards against submissions that are refused because one bad row shares their
+// transaction, and against transactions over the table's limit of 16 MiB.
+func TestBadRowsDelayNoOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		keeper := newKeeper()
+		journal, events := start(t, keeper, "e1~1")
+		bad := intent(0, "e1~1")
+		bad.Row.Key.ID = strings.Repeat("x", storer.MaxKeyBytes)
+		journal.CommitIntent(bad)
+		for i := 1; i < 400; i++ {
+			journal.CommitIntent(intent(i, "e1~1"))
+		}
+		for i := range 8 {
+			large := outcome(i, "large")
+			large.Outcome.Tasks = []messenger.TaskOutcome{{Result: make([]byte, 3<<20)}}
+			journal.CommitOutcome(large)
+		}
+		time.Sleep(time.Minute)
+		failed := 0
+		for _, e := range events.settled() {
+			if e.Failed {
+				failed++
+			}
+		}
+		t.Logf("%d of %d failed, %d transactions", failed, len(events.settled()), keeper.Transactions())
+		if failed != 1 || len(events.settled()) != 400 || len(events.recorded()) != 8 {
+			t.Errorf("%d of %d intents failed, %d outcomes", failed, len(events.settled()), len(events.recorded()))
+		}
+	})
+}
+
 // Guards against a second outcome that replaces the first.
 func TestFirstOutcomeStaysInForce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/platform/journaler/retry.go
+++ b/internal/platform/journaler/retry.go
@@ -46,14 +46,34 @@
 	j.finish(it, coordinator.IntentSettled{Key: it.key, Failed: true})
 }
 
-// separate queues rows to be tried one by one, to find the one that is refused.
+// separate queues the rows of a refused transaction in two parts, to find the row
+// that is refused. There is no backoff, because the table is up.
 func (j *Journal) separate(batch []*item) {
 	j.mu.Lock()
-	for _, it := range batch {
-		it.alone = true
+	half := len(batch) / 2
+	for i, it := range batch {
+		it.part = j.parts + 1
+		if i >= half {
+			it.part = j.parts + 2
+		}
+		j.enqueue(it)
 	}
+	j.parts += 2
 	j.mu.Unlock()
-	j.requeue(batch)
+	j.signal()
+}
+
+// enqueue runs with the lock held.
+func (j *Journal) enqueue(it *item) {
+	switch {
+	case it.done:
+	case it.kind == lookupItem:
+		j.lookups = append(j.lookups, it)
+	case it.kind == intentItem:
+		j.intents = append(j.intents, it)
+	default:
+		j.outcomes = append(j.outcomes, it)
+	}
 }
 
 func (j *Journal) requeue(batch []*item) {
@@ -61,15 +81,7 @@
 	for _, it := range batch {
 		it.tries++
 		it.notBefore = time.Now().Add(j.backoff(it))
-		switch {
-		case it.done:
-		case it.kind == lookupItem:
-			j.lookups = append(j.lookups, it)
-		case it.kind == intentItem:
-			j.intents = append(j.intents, it)
-		default:
-			j.outcomes = append(j.outcomes, it)
-		}
+		j.enqueue(it)
 	}
 	j.mu.Unlock()
 	j.signal()
--- a/internal/platform/journaler/writer.go
+++ b/internal/platform/journaler/writer.go
@@ -67,16 +67,22 @@
 }
 
 // take moves due items from the queue to the batch and drops those that are done.
+// A batch is bounded in rows and in bytes; its first row may be of any size.
 func take(queue *[]*item, batch []*item, limit int, now time.Time) []*item {
+	size := 0
+	for _, it := range batch {
+		size += it.size
+	}
 	var kept []*item
 	for _, it := range *queue {
-		closed := len(batch) >= limit || (len(batch) > 0 && (it.alone || batch[0].alone))
+		closed := len(batch) > 0 && (len(batch) >= limit || it.part != batch[0].part || size+it.size > maxBatchBytes)
 		switch {
 		case it.done:
 		case closed || it.notBefore.After(now):
 			kept = append(kept, it)
 		default:
 			batch = append(batch, it)
+			size += it.size
 		}
 	}
 	*queue = kept
