--- a/internal/platform/journaler/outage.go
+++ b/internal/platform/journaler/outage.go
@@ -16,8 +16,6 @@
 	// all rows follow the first one that succeeds.
 	minProbe = 25 * time.Millisecond
 	maxProbe = 100 * time.Millisecond
-	// returnSpread spreads the waiting intents when the table is back.
-	returnSpread = 250 * time.Millisecond
 )
 
 // outage is what the last transactions tell about the table. While it is down,
@@ -69,12 +67,9 @@
 	if !j.outage.note(err, j.jittered(minProbe, maxProbe, j.outage.failures)) {
 		return
 	}
-	// Entries that all release their waiting submissions in the same moment
-	// collide at the endpoints, which costs refusals.
-	for _, it := range j.intents {
-		it.notBefore = time.Now().Add(time.Duration(j.random.Int64N(int64(returnSpread))))
-	}
-	for _, it := range j.outcomes {
-		it.notBefore = time.Time{}
+	for _, queue := range [][]*item{j.intents, j.outcomes} {
+		for _, it := range queue {
+			it.notBefore = time.Time{}
+		}
 	}
 }
