Look at each answer once in the test of the store outage

The test searched all answers on every look: with the race detector it took most of the 72 s of the package.

--- a/internal/proof/driver/outage_test.go
+++ b/internal/proof/driver/outage_test.go
@@ -30,7 +30,9 @@
 	begun      time.Duration
 	response   time.Duration
 	refusals   int
-	outcome    *messenger.Outcome
+	// seen is how many answers of the run this client has looked at.
+	seen    int
+	outcome *messenger.Outcome
 }
 
 func (c *outageClient) entry() string {
@@ -65,9 +67,11 @@
 }
 
 func (c *outageClient) await(call coordinator.CallID, then func(coordinator.Answer)) {
-	if answer, ok := c.world.Answer(call); ok {
-		then(answer)
-		return
+	for ; c.seen < len(c.world.Answers); c.seen++ {
+		if answer := c.world.Answers[c.seen]; answer.Call == call {
+			then(answer.Answer)
+			return
+		}
 	}
 	c.world.At(c.world.Elapsed()+pollPause, func() { c.await(call, then) })
 }
