Count refused store calls as messages of the demo

Cause: the demo counted only the transactions that the stand-in decided. Calls that it refused while down were messages too, and the largest part in an outage.

--- a/internal/demo/runner/measure.go
+++ b/internal/demo/runner/measure.go
@@ -190,7 +190,8 @@
 	// The calls to the endpoints and of the callers are one call and one answer each.
 	messages.Work += 2*report.TaskStarts + 2*uint64(len(r.clients.results))
 	report.StoreTransactions = r.cluster.keeper.Transactions()
-	messages.Store = 2 * report.StoreTransactions
+	// A call that the store refuses is a message as well.
+	messages.Store = 2 * r.cluster.keeper.WriteCalls()
 	report.WastedMessagesPerStart, report.WastedMessagesPerStartNoStore = messages.WastedPerStart()
 	seconds := time.Since(r.clients.began).Seconds()
 	report.ControlBytesPerSecond = float64(agentControl) / seconds / float64(len(r.cluster.agents))
--- a/internal/standin/tablekeeper/keeper.go
+++ b/internal/standin/tablekeeper/keeper.go
@@ -52,6 +52,7 @@
 	rows         map[string]storer.Row
 	revisions    map[string]uint64
 	transactions uint64
+	writeCalls   uint64
 }
 
 var _ storer.Table = (*Keeper)(nil)
@@ -88,6 +89,13 @@
 	return k.transactions
 }
 
+// WriteCalls returns how many writes were asked for, also those that failed.
+func (k *Keeper) WriteCalls() uint64 {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.writeCalls
+}
+
 // Read implements storer.Table.
 func (k *Keeper) Read(ctx context.Context, keys []string) ([]storer.Row, error) {
 	if len(keys) > storer.MaxKeysPerRead {
@@ -217,7 +225,7 @@
 	if write {
 		queue, latency = k.writes, k.WriteLatency
 	}
-	faults, factor := k.draw()
+	faults, factor := k.draw(write)
 	if faults.Down {
 		return fmt.Errorf("%w: the stand-in is set down", storer.ErrUnavailable)
 	}
@@ -234,8 +242,11 @@
 	}
 }
 
-func (k *Keeper) draw() (Faults, float64) {
+func (k *Keeper) draw(write bool) (Faults, float64) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	if write {
+		k.writeCalls++
+	}
 	return k.faults, 1 + k.Jitter*(2*k.random.Float64()-1)
 }
