Remove settings changes beyond the youngest 10,000

Before: one row per change, without end. After: 10,000 rows; the old row is deleted in the atomic transaction of the new one, so there is no further write.

A removed version is unknown to readers; a repeated edit whose row is gone is reported as a conflict, as its version has passed.

--- a/internal/settings/versioner/rows.go
+++ b/internal/settings/versioner/rows.go
@@ -53,6 +53,13 @@
 	}, nil
 }
 
+// removal deletes the row of an old change in the transaction of a new one, which
+// costs no further write. A change row is written once, so its revision is 1; a
+// row that is absent already does not hold up the change.
+func removal(version uint64, token string) storer.Put {
+	return storer.Put{Key: keyOf(version), Expected: 1, Token: token, Delete: true}
+}
+
 // recognise returns the change that an earlier write of the same token made. A
 // token that was used for another tree is refused: the new tree is not in force.
 func recognise(row storer.Row, wanted Change) (Change, error) {
--- a/internal/settings/versioner/versioner.go
+++ b/internal/settings/versioner/versioner.go
@@ -21,6 +21,9 @@
 
 	defaultPatience   = 2 * time.Second
 	defaultRetryPause = 100 * time.Millisecond
+
+	// DefaultKeptChanges is how many changes are kept: two days at 4,200 a day.
+	DefaultKeptChanges = 10_000
 )
 
 // Head is the version in force. Version 0 is the empty tree before the first change.
@@ -58,6 +61,8 @@
 	Patience time.Duration
 	// RetryPause is the wait between two tries; 0 means 100 ms.
 	RetryPause time.Duration
+	// KeptChanges is how many changes are kept; 0 means DefaultKeptChanges.
+	KeptChanges uint64
 }
 
 // Head returns the version in force.
@@ -135,6 +140,9 @@
 	if err != nil {
 		return Change{}, err
 	}
+	if kept := s.keptChanges(); change.Version > kept {
+		puts = append(puts, removal(change.Version-kept, edit.Token))
+	}
 	results, err := s.Table.Write(ctx, puts, true)
 	if err != nil {
 		return Change{}, &noAnswerError{fmt.Errorf("write settings version %d: %w", change.Version, err)}
@@ -149,7 +157,14 @@
 	return change, nil
 }
 
-// Get returns one accepted change.
+func (s *Store) keptChanges() uint64 {
+	if s.KeptChanges == 0 {
+		return DefaultKeptChanges
+	}
+	return s.KeptChanges
+}
+
+// Get returns one accepted change that is still kept.
 func (s *Store) Get(ctx context.Context, version uint64) (Change, error) {
 	changes, err := s.read(ctx, []string{keyOf(version)})
 	if err != nil {
