Report rows that cannot be read once, and the reason of refused intents

Cause: an outcome row in force that cannot be decoded was tried again without end and treated as an outage, so that witnesses could let another outcome be told. A refused intent row was told as "the store gave no answer".

Before: one try per second without end. After: one try; the caller gets outcome_unknown with the store's reason.

--- a/internal/dispatch/coordinator/events.go
+++ b/internal/dispatch/coordinator/events.go
@@ -66,6 +66,9 @@
 	Key messenger.SubmissionKey `json:"key"`
 	// Failed is true if the table gave no answer. The write may have taken effect.
 	Failed bool `json:"failed,omitempty"`
+	// Refused says why the table takes no such row or the row in force cannot be
+	// read; Failed is then true as well.
+	Refused string `json:"refused,omitempty"`
 	// Row is the row in force, ours or another's; nil if there is none.
 	Row *IntentRow `json:"row,omitempty"`
 	// Outcome is the outcome row, if the submission is settled.
@@ -77,8 +80,8 @@
 	Key messenger.SubmissionKey `json:"key"`
 	// Failed is true if the table gave no answer; the edge goes on trying.
 	Failed bool `json:"failed,omitempty"`
-	// Refused says why the table will never take the row; the edge has stopped
-	// trying, and nothing was written.
+	// Refused says why the table will never take the row, or why the row in force
+	// cannot be read; the edge has stopped trying, and has written nothing.
 	Refused string `json:"refused,omitempty"`
 	// Outcome is the row in force, which may be another entry's.
 	Outcome *messenger.Outcome `json:"outcome,omitempty"`
--- a/internal/dispatch/coordinator/intent.go
+++ b/internal/dispatch/coordinator/intent.go
@@ -26,8 +26,7 @@
 func (s *State) admissionSettled(j *job, e IntentSettled) {
 	switch {
 	case e.Failed:
-		s.dropAdmission(j, messenger.CodeOutcomeUnknown,
-			"the store gave no answer; this attempt started nothing, earlier attempts are unknown")
+		s.dropAdmission(j, messenger.CodeOutcomeUnknown, e.failure())
 	case e.Outcome != nil:
 		s.removeJob(j)
 		for _, w := range j.waiters {
@@ -49,6 +48,15 @@
 	}
 }
 
+// failure says why the rows are not known.
+func (e IntentSettled) failure() string {
+	const consequence = "; this attempt started nothing, earlier attempts are unknown"
+	if e.Refused != "" {
+		return "the store does not take or give the row: " + e.Refused + consequence
+	}
+	return "the store gave no answer" + consequence
+}
+
 func (s *State) dropAdmission(j *job, code messenger.RefusalCode, reason string) {
 	s.removeJob(j)
 	for _, w := range j.waiters {
@@ -78,8 +86,7 @@
 	}
 	switch {
 	case e.Failed:
-		s.replyRefusal(l.waiter, key, messenger.CodeOutcomeUnknown,
-			"the store gave no answer; this attempt started nothing, earlier attempts are unknown")
+		s.replyRefusal(l.waiter, key, messenger.CodeOutcomeUnknown, e.failure())
 	case e.Outcome != nil && l.cancel:
 		s.reply(l.waiter, CancelAnswer{})
 	case e.Outcome != nil:
--- a/internal/platform/journaler/journal_test.go
+++ b/internal/platform/journaler/journal_test.go
@@ -214,6 +214,30 @@
 	})
 }
 
+// Guards against an outcome that is tried for ever because the row in force cannot
+// be read, as after a change of its format.
+func TestUnreadableRowsAreReportedOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		keeper := newKeeper()
+		for _, key := range []string{OutcomeKey(keyOf(1)), IntentKey(keyOf(1))} {
+			if _, err := keeper.Write(t.Context(), []storer.Put{{Key: key, Value: []byte("?"), Token: "x"}}, false); err != nil {
+				t.Fatal(err)
+			}
+		}
+		journal, events := start(t, keeper, "e1~1")
+		journal.CommitOutcome(outcome(1, "first"))
+		journal.CommitIntent(intent(1, "e1~1"))
+		journal.ReadIntent(coordinator.ReadIntent{Key: keyOf(1)})
+		time.Sleep(time.Minute)
+		if n := events.recorded(); len(n) != 1 || n[0].Refused == "" {
+			t.Errorf("got outcomes %+v", n)
+		}
+		if n := events.settled(); len(n) != 2 || n[0].Refused == "" || n[1].Refused == "" {
+			t.Errorf("got intents %+v", n)
+		}
+	})
+}
+
 // Guards against submissions that are refused because one bad row shares their
 // transaction, and against transactions over the table's limit of 16 MiB.
 func TestBadRowsDelayNoOthers(t *testing.T) {
--- a/internal/platform/journaler/retry.go
+++ b/internal/platform/journaler/retry.go
@@ -46,7 +46,7 @@
 		j.Emit(coordinator.OutcomeSettled{Key: it.key, Refused: err.Error()})
 		return
 	}
-	j.finish(it, coordinator.IntentSettled{Key: it.key, Failed: true})
+	j.finish(it, coordinator.IntentSettled{Key: it.key, Failed: true, Refused: err.Error()})
 }
 
 // separate queues the rows of a refused transaction in two parts, to find the row
@@ -176,17 +176,19 @@
 }
 
 func lookedUp(it *item, found map[string]storer.Row) coordinator.IntentSettled {
-	failed := coordinator.IntentSettled{Key: it.key, Failed: true}
+	failed := func(err error) coordinator.IntentSettled {
+		return coordinator.IntentSettled{Key: it.key, Failed: true, Refused: err.Error()}
+	}
 	settled := coordinator.IntentSettled{Key: it.key, Row: it.row}
 	var err error
 	if row, ok := found[IntentKey(it.key)]; ok && it.row == nil {
 		if settled.Row, err = decodeRow[coordinator.IntentRow](row); err != nil {
-			return failed
+			return failed(err)
 		}
 	}
 	if row, ok := found[OutcomeKey(it.key)]; ok {
 		if settled.Outcome, err = decodeRow[messenger.Outcome](row); err != nil {
-			return failed
+			return failed(err)
 		}
 	}
 	return settled
--- a/internal/platform/journaler/writer.go
+++ b/internal/platform/journaler/writer.go
@@ -137,8 +137,7 @@
 	row, err := decodeRow[coordinator.IntentRow](result.Row)
 	switch {
 	case err != nil:
-		j.Logger.Error("intent row cannot be read", zap.Error(err))
-		j.finish(it, coordinator.IntentSettled{Key: it.key, Failed: true})
+		j.refuse(it, err)
 	case result.Applied:
 		j.admitted(it.key, result.Row.Revision)
 		j.finish(it, coordinator.IntentSettled{Key: it.key, Row: row})
@@ -154,9 +153,8 @@
 func (j *Journal) settleOutcome(it *item, result storer.PutResult) {
 	outcome, err := decodeRow[messenger.Outcome](result.Row)
 	if err != nil {
-		j.Logger.Error("outcome row cannot be read", zap.Error(err))
-		j.Emit(coordinator.OutcomeSettled{Key: it.key, Failed: true})
-		j.requeue([]*item{it})
+		// Another try would find the same row.
+		j.refuse(it, err)
 		return
 	}
 	if result.Applied {
