Leave a witnessed outcome as it was told when its job is taken over

Cause, found on review: the bound on results was also applied to an outcome that witnesses keep. If max_result_bytes had been lowered after the outcome was told, the takeover would have committed it as failed. Reasons that a takeover collects were not cut, so that its row could exceed the table's limit.

Before: a told outcome could change. After: it is committed unchanged, which a test checks; a script covers a takeover above the bound and refused rows.

--- a/internal/dispatch/coordinator/bounds.go
+++ b/internal/dispatch/coordinator/bounds.go
@@ -45,16 +45,28 @@
 	return fmt.Sprintf("%s... (%d bytes cut)", reason[:maxReasonBytes], len(reason)-maxReasonBytes)
 }
 
-// boundCollected applies the bound to an outcome that a takeover has collected.
+// takenOutcome is the outcome of a submission that was taken over. One that
+// witnesses keep may have been told, so it stays as it is, even if the bound has
+// been lowered since.
+func (s *State) takenOutcome(t *takeover, r *remote) messenger.Outcome {
+	outcome := t.outcome(r)
+	if _, witnessed := t.witnessed[r.row.Key]; witnessed {
+		return outcome
+	}
+	return s.boundCollected(outcome)
+}
+
+// boundCollected applies the bounds to an outcome that a takeover has collected.
 func (s *State) boundCollected(outcome messenger.Outcome) messenger.Outcome {
+	size := 0
+	for i := range outcome.Tasks {
+		outcome.Tasks[i].Reason = shortReason(outcome.Tasks[i].Reason)
+		size += len(outcome.Tasks[i].Result)
+	}
 	settings, ok := s.tree.ResolveAdmission(outcome.Key.Firm, outcome.Key.Service)
 	if !ok {
 		return outcome
 	}
-	size := 0
-	for _, task := range outcome.Tasks {
-		size += len(task.Result)
-	}
 	if reason := resultsFault(size, settings.MaxResultBytes); reason != "" {
 		return failedOutcome(outcome, reason)
 	}
--- a/internal/dispatch/coordinator/conclude.go
+++ b/internal/dispatch/coordinator/conclude.go
@@ -23,7 +23,7 @@
 			continue
 		}
 		r.settling = true
-		s.emit(CommitOutcome{Outcome: s.boundCollected(t.outcome(r))})
+		s.emit(CommitOutcome{Outcome: s.takenOutcome(t, r)})
 	}
 }
 
