--- a/internal/dispatch/coordinator/admit.go
+++ b/internal/dispatch/coordinator/admit.go
@@ -55,7 +55,7 @@
 // admit starts a submission that has a ticket of this entry, and asks for the
 // intent row otherwise.
 func (s *State) admit(w waiter, submission messenger.Submission, settings resolver.Resolved) {
-	owner, isTicket := ticketOwner(submission.Key.ID)
+	owner, isTicket := TicketOwner(submission.Key.ID)
 	if isTicket && owner != s.Config.Incarnation {
 		s.submitForeignTicket(w, submission, owner)
 		return
@@ -171,6 +171,8 @@
 
 func (s *State) join(w waiter, j *job) {
 	switch {
+	case j.unrecorded != "" && !j.told:
+		s.replyRefusal(w, j.submission.Key, messenger.CodeOutcomeUnknown, j.unrecorded)
 	case j.told || j.lifeCycle.Is(jobSettled):
 		s.reply(w, OutcomeAnswer{Outcome: j.outcome})
 	case w.wait:
--- a/internal/platform/journaler/journal.go
+++ b/internal/platform/journaler/journal.go
@@ -35,6 +35,9 @@
 	writers = 2
 	// burst lets a lone write start at once while another is in progress.
 	burst = 2
+	// maxBatchBytes keeps the body of a transaction, in which values are base64,
+	// below the table's limit of 16 MiB.
+	maxBatchBytes = 8 << 20
 )
 
 // Journal commits rows. Its exported fields are set before Run.
@@ -48,6 +51,9 @@
 	Patience time.Duration
 	// CallTimeout bounds one call of the table.
 	CallTimeout time.Duration
+	// Retention is how long the rows of settled submissions are kept; 0 means
+	// DefaultRetention, and less than 0 for ever.
+	Retention time.Duration
 	// MaxRows bounds the rows of one transaction.
 	MaxRows int
 	// Seed seeds the jitter of the backoff.
@@ -66,10 +72,13 @@
 	mu       sync.Mutex
 	random   *rand.Rand
 	sequence uint64
+	parts    uint64
 	intents  []*item
 	outcomes []*item
 	lookups  []*item
 	expiry   []*item
+	outage   outage
+	sweep    sweep
 }
 
 // CommitIntent queues the creation of an intent row.
@@ -96,11 +105,13 @@
 }
 
 // CommitOutcome queues the creation of an outcome row. It is tried until it
-// succeeds or Run ends.
+// succeeds, the table refuses it or Run ends.
 func (j *Journal) CommitOutcome(effect coordinator.CommitOutcome) {
 	j.prepare()
 	outcome := effect.Outcome
-	it := &item{kind: outcomeItem, key: outcome.Key, path: OutcomeKey(outcome.Key), body: outcome}
+	it := &item{
+		kind: outcomeItem, key: outcome.Key, path: OutcomeKey(outcome.Key), body: outcome, size: outcomeSize(outcome),
+	}
 	j.mu.Lock()
 	it.token = j.token()
 	j.outcomes = append(j.outcomes, it)
@@ -131,6 +142,9 @@
 		if j.CallTimeout == 0 {
 			j.CallTimeout = DefaultCallTimeout
 		}
+		if j.Retention == 0 {
+			j.Retention = DefaultRetention
+		}
 		if j.MaxRows == 0 {
 			j.MaxRows = DefaultMaxRows
 		}
--- a/internal/platform/journaler/journal_test.go
+++ b/internal/platform/journaler/journal_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -12,6 +13,7 @@
 
 	"github.com/burdockrudder/burdockrudder/internal/dispatch/coordinator"
 	"github.com/burdockrudder/burdockrudder/internal/dispatch/messenger"
+	"github.com/burdockrudder/burdockrudder/internal/platform/storer"
 	"github.com/burdockrudder/burdockrudder/internal/standin/tablekeeper"
 )
 
@@ -19,6 +21,7 @@
 	mu       sync.Mutex
 	intents  []coordinator.IntentSettled
 	outcomes []coordinator.OutcomeSettled
+	times    map[messenger.SubmissionKey]time.Time
 }
 
 func (s *sink) emit(event coordinator.Event) {
@@ -27,6 +30,10 @@
 	switch e := event.(type) {
 	case coordinator.IntentSettled:
 		s.intents = append(s.intents, e)
+		if s.times == nil {
+			s.times = map[messenger.SubmissionKey]time.Time{}
+		}
+		s.times[e.Key] = time.Now()
 	case coordinator.OutcomeSettled:
 		s.outcomes = append(s.outcomes, e)
 	}
@@ -38,6 +45,13 @@
 	return s.intents
 }
 
+// at returns when the intent of a submission was settled.
+func (s *sink) at(key messenger.SubmissionKey) time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.times[key]
+}
+
 func (s *sink) recorded() []coordinator.OutcomeSettled {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -45,9 +59,21 @@
 }
 
 func start(t *testing.T, keeper *tablekeeper.Keeper, writer messenger.Incarnation) (*Journal, *sink) {
+	t.Helper()
+	return startOn(t, keeper, writer)
+}
+
+func startOn(t *testing.T, table storer.Table, writer messenger.Incarnation) (*Journal, *sink) {
+	t.Helper()
+	journal := &Journal{Table: table, Writer: writer, WritesPerSecond: 300, Seed: 7}
+	return journal, run(t, journal)
+}
+
+// run runs a journal until the end of the test.
+func run(t *testing.T, journal *Journal) *sink {
 	t.Helper()
 	events := &sink{}
-	journal := &Journal{Table: keeper, Writer: writer, WritesPerSecond: 300, Seed: 7, Emit: events.emit}
+	journal.Emit = events.emit
 	ctx, cancel := context.WithCancel(t.Context())
 	var group errgroup.Group
 	group.Go(func() error { return journal.Run(ctx) })
@@ -57,7 +83,7 @@
 			t.Error(err)
 		}
 	})
-	return journal, events
+	return events
 }
 
 func newKeeper() *tablekeeper.Keeper {
@@ -161,6 +187,88 @@
 	})
 }
 
+// Guards against a row that the table refuses and that is tried for ever, and
+// against rows that are lost because they share its transaction.
+func TestRefusedRowIsReportedOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		journal, events := start(t, newKeeper(), "e1~1")
+		tooLarge := outcome(0, "large")
+		tooLarge.Outcome.Tasks = []messenger.TaskOutcome{{Result: make([]byte, storer.MaxValueBytes)}}
+		journal.CommitOutcome(tooLarge)
+		for i := 1; i < 5; i++ {
+			journal.CommitOutcome(outcome(i, "small"))
+		}
+		time.Sleep(time.Minute)
+		refused := 0
+		for _, e := range events.recorded() {
+			switch {
+			case e.Refused != "" && e.Key == keyOf(0):
+				refused++
+			case e.Outcome == nil:
+				t.Errorf("got %+v", e)
+			}
+		}
+		if refused != 1 || len(events.recorded()) != 5 {
+			t.Errorf("refused %d times, %d events", refused, len(events.recorded()))
+		}
+	})
+}
+
+// Guards against an outcome that is tried for ever because the row in force cannot
+// be read, as after a change of its format.
+func TestUnreadableRowsAreReportedOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		keeper := newKeeper()
+		for _, key := range []string{OutcomeKey(keyOf(1)), IntentKey(keyOf(1))} {
+			if _, err := keeper.Write(t.Context(), []storer.Put{{Key: key, Value: []byte("?"), Token: "x"}}, false); err != nil {
+				t.Fatal(err)
+			}
+		}
+		journal, events := start(t, keeper, "e1~1")
+		journal.CommitOutcome(outcome(1, "first"))
+		journal.CommitIntent(intent(1, "e1~1"))
+		journal.ReadIntent(coordinator.ReadIntent{Key: keyOf(1)})
+		time.Sleep(time.Minute)
+		if n := events.recorded(); len(n) != 1 || n[0].Refused == "" {
+			t.Errorf("got outcomes %+v", n)
+		}
+		if n := events.settled(); len(n) != 2 || n[0].Refused == "" || n[1].Refused == "" {
+			t.Errorf("got intents %+v", n)
+		}
+	})
+}
+
+// Guards against submissions that are refused because one bad row shares their
+// transaction, and against transactions over the table's limit of 16 MiB.
+func TestBadRowsDelayNoOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		keeper := newKeeper()
+		journal, events := start(t, keeper, "e1~1")
+		bad := intent(0, "e1~1")
+		bad.Row.Key.ID = strings.Repeat("x", storer.MaxKeyBytes)
+		journal.CommitIntent(bad)
+		for i := 1; i < 400; i++ {
+			journal.CommitIntent(intent(i, "e1~1"))
+		}
+		for i := range 8 {
+			large := outcome(i, "large")
+			large.Outcome.Tasks = []messenger.TaskOutcome{{Result: make([]byte, 3<<20)}}
+			journal.CommitOutcome(large)
+		}
+		time.Sleep(time.Minute)
+		failed := 0
+		for _, e := range events.settled() {
+			if e.Failed {
+				failed++
+			}
+		}
+		t.Logf("%d of %d failed, %d transactions", failed, len(events.settled()), keeper.Transactions())
+		if failed != 1 || len(events.settled()) != 400 || len(events.recorded()) != 8 {
+			t.Errorf("%d of %d intents failed, %d outcomes", failed, len(events.settled()), len(events.recorded()))
+		}
+	})
+}
+
 // Guards against a second outcome that replaces the first.
 func TestFirstOutcomeStaysInForce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/platform/journaler/retry.go
+++ b/internal/platform/journaler/retry.go
@@ -5,6 +5,8 @@
 	"errors"
 	"time"
 
+	"go.uber.org/zap"
+
 	"github.com/burdockrudder/burdockrudder/internal/dispatch/coordinator"
 	"github.com/burdockrudder/burdockrudder/internal/dispatch/messenger"
 	"github.com/burdockrudder/burdockrudder/internal/platform/storer"
@@ -21,23 +23,62 @@
 		return
 	}
 	for _, it := range batch {
-		if it.kind == outcomeItem {
+		switch {
+		case refused:
+			j.refuse(it, err)
+		case it.kind == outcomeItem && it.tries == 0:
 			j.Emit(coordinator.OutcomeSettled{Key: it.key, Failed: true})
-		} else if refused {
-			j.finish(it, coordinator.IntentSettled{Key: it.key, Failed: true})
 		}
 	}
-	j.requeue(batch)
+	if !refused {
+		j.requeue(batch)
+	}
+}
+
+// refuse reports a row that the table will never take. It is not tried again.
+func (j *Journal) refuse(it *item, err error) {
+	j.Logger.Error("row refused", zap.String("row", it.path), zap.Stringer("submission", it.key), zap.Error(err))
+	j.Metrics.Counter("journal_refused").Inc(1)
+	if it.kind == removalItem {
+		return
+	}
+	if it.kind == outcomeItem {
+		j.Emit(coordinator.OutcomeSettled{Key: it.key, Refused: err.Error()})
+		return
+	}
+	j.finish(it, coordinator.IntentSettled{Key: it.key, Failed: true, Refused: err.Error()})
 }
 
-// separate queues rows to be tried one by one, to find the one that is refused.
+// separate queues the rows of a refused transaction in two parts, to find the row
+// that is refused. There is no backoff, because the table is up.
 func (j *Journal) separate(batch []*item) {
 	j.mu.Lock()
-	for _, it := range batch {
-		it.alone = true
+	half := len(batch) / 2
+	for i, it := range batch {
+		it.part = j.parts + 1
+		if i >= half {
+			it.part = j.parts + 2
+		}
+		j.enqueue(it)
 	}
+	j.parts += 2
 	j.mu.Unlock()
-	j.requeue(batch)
+	j.signal()
+}
+
+// enqueue runs with the lock held.
+func (j *Journal) enqueue(it *item) {
+	switch {
+	case it.done:
+	case it.kind == lookupItem:
+		j.lookups = append(j.lookups, it)
+	case it.kind == intentItem:
+		j.intents = append(j.intents, it)
+	case it.kind == removalItem:
+		j.sweepAgain(it.removal)
+	default:
+		j.outcomes = append(j.outcomes, it)
+	}
 }
 
 func (j *Journal) requeue(batch []*item) {
@@ -45,15 +86,10 @@
 	for _, it := range batch {
 		it.tries++
 		it.notBefore = time.Now().Add(j.backoff(it))
-		switch {
-		case it.done:
-		case it.kind == lookupItem:
-			j.lookups = append(j.lookups, it)
-		case it.kind == intentItem:
-			j.intents = append(j.intents, it)
-		default:
-			j.outcomes = append(j.outcomes, it)
+		if j.outage.down() && it.kind != lookupItem {
+			it.notBefore = time.Time{}
 		}
+		j.enqueue(it)
 	}
 	j.mu.Unlock()
 	j.signal()
@@ -65,8 +101,14 @@
 	if it.kind == outcomeItem {
 		low, high = minOutcomeBackoff, maxOutcomeBackoff
 	}
-	delay := min(high, low<<min(it.tries-1, 10))
-	// The jitter keeps the entries from retrying in step after an outage.
+	return j.jittered(low, high, it.tries-1)
+}
+
+// jittered runs with the lock held. The jitter keeps the entries from retrying in
+// step after an outage.
+func (j *Journal) jittered(low, high time.Duration, doublings int) time.Duration {
+	const maxDoublings = 10
+	delay := min(high, low<<min(doublings, maxDoublings))
 	return max(low, time.Duration(float64(delay)*(0.5+0.5*j.random.Float64())))
 }
 
@@ -134,17 +176,19 @@
 }
 
 func lookedUp(it *item, found map[string]storer.Row) coordinator.IntentSettled {
-	failed := coordinator.IntentSettled{Key: it.key, Failed: true}
+	failed := func(err error) coordinator.IntentSettled {
+		return coordinator.IntentSettled{Key: it.key, Failed: true, Refused: err.Error()}
+	}
 	settled := coordinator.IntentSettled{Key: it.key, Row: it.row}
 	var err error
 	if row, ok := found[IntentKey(it.key)]; ok && it.row == nil {
 		if settled.Row, err = decodeRow[coordinator.IntentRow](row); err != nil {
-			return failed
+			return failed(err)
 		}
 	}
 	if row, ok := found[OutcomeKey(it.key)]; ok {
 		if settled.Outcome, err = decodeRow[messenger.Outcome](row); err != nil {
-			return failed
+			return failed(err)
 		}
 	}
 	return settled
