Serve HTTPS as the settings say and share the start of the daemons

http_tls was read and checked, but the server never got it, so that an entry served plain HTTP. It now takes a certificate and a key. The two daemon commands share their settings flag, logger, certificates and transport; tests cover the findings of both settings files.

--- a/internal/command/starter/starter.go
+++ b/internal/command/starter/starter.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"fmt"
 	"math/rand/v2"
@@ -19,6 +20,7 @@
 	"github.com/burdockrudder/burdockrudder/internal/edge/invoker"
 	"github.com/burdockrudder/burdockrudder/internal/platform/storer"
 	"github.com/burdockrudder/burdockrudder/internal/settings/parser"
+	"github.com/burdockrudder/burdockrudder/internal/transport/authenticator"
 	"github.com/burdockrudder/burdockrudder/internal/transport/linker"
 )
 
@@ -37,35 +39,26 @@
 }
 
 func entryCommand() *cobra.Command {
-	var path string
-	command := &cobra.Command{
-		Use:   "entry",
-		Short: "Run an entry: admit, place and answer, and serve operators",
-		Args:  cobra.NoArgs,
-		RunE: func(cmd *cobra.Command, _ []string) error {
-			config, err := readConfig(path, launcher.EntryDefaults())
-			if err != nil {
-				return err
-			}
-			return runEntry(cmd.Context(), config)
-		},
-	}
-	addConfigFlag(command, &path)
-	return command
+	return daemonCommand("entry", "Run an entry: admit, place and answer, and serve operators", launcher.EntryDefaults(), runEntry)
 }
 
 func agentCommand() *cobra.Command {
+	return daemonCommand("agent", "Run an agent beside an endpoint", launcher.AgentDefaults(), runAgent)
+}
+
+// daemonCommand reads the settings file of a daemon and runs it.
+func daemonCommand[T any](use, short string, defaults T, run func(context.Context, T) error) *cobra.Command {
 	var path string
 	command := &cobra.Command{
-		Use:   "agent",
-		Short: "Run an agent beside an endpoint",
+		Use:   use,
+		Short: short,
 		Args:  cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			config, err := readConfig(path, launcher.AgentDefaults())
+			config, err := readConfig(path, defaults)
 			if err != nil {
 				return err
 			}
-			return runAgent(cmd.Context(), config)
+			return run(cmd.Context(), config)
 		},
 	}
 	addConfigFlag(command, &path)
@@ -89,76 +82,98 @@
 	return config, parser.Join(findings)
 }
 
-func runEntry(ctx context.Context, config launcher.EntryConfig) error {
-	logger, err := launcher.NewLogger(config.Log)
+// process is what both daemons need of their surroundings.
+type process struct {
+	logger      *zap.Logger
+	tls         *tls.Config
+	incarnation messenger.Incarnation
+	metrics     *launcher.Metrics
+}
+
+func newProcess(role messenger.Role, name string, log launcher.LogConfig, files authenticator.Files) (*process, error) {
+	logger, err := launcher.NewLogger(log)
 	if err != nil {
-		return err
+		return nil, err
 	}
-	tlsConfig, err := config.TLS.Load()
+	tlsConfig, err := files.Load()
 	if err != nil {
-		return fmt.Errorf("load link certificates: %w", err)
+		return nil, fmt.Errorf("load link certificates: %w", err)
 	}
-	incarnation, err := launcher.NewIncarnation(config.Name)
+	incarnation, err := launcher.NewIncarnation(name)
+	if err != nil {
+		return nil, err
+	}
+	return &process{
+		logger: logger, tls: tlsConfig, incarnation: incarnation, metrics: launcher.NewMetrics(string(role), name),
+	}, nil
+}
+
+// transport returns the QUIC transport of a process.
+func (p *process) transport(hello messenger.Hello, listen string) func(launcher.Handler) launcher.Transport {
+	return func(handler launcher.Handler) launcher.Transport {
+		return &linker.Transport{
+			Hello: hello, Listen: listen, TLS: p.tls, Handler: handler, Logger: p.logger, Metrics: p.metrics.Scope,
+		}
+	}
+}
+
+func runEntry(ctx context.Context, config launcher.EntryConfig) error {
+	p, err := newProcess(messenger.RoleEntry, config.Name, config.Log, config.TLS)
 	if err != nil {
 		return err
 	}
-	metrics := launcher.NewMetrics("entry", config.Name)
-	defer metrics.Close()
+	defer p.metrics.Close()
+	httpTLS, err := loadHTTPTLS(config.HTTPTLS)
+	if err != nil {
+		return err
+	}
+	hello := messenger.Hello{Role: messenger.RoleEntry, Name: config.Name, Incarnation: p.incarnation}
 	entry := &launcher.Entry{
 		Config:      config,
-		Incarnation: incarnation,
+		Incarnation: p.incarnation,
 		Seed:        rand.Uint64(),
 		Table: &storer.Client{
 			BaseURL: config.PlatformURL, HTTP: &http.Client{}, Timeout: tableTimeout,
 		},
-		Logger:  logger,
-		Scope:   metrics.Scope,
-		Metrics: metrics.Handler,
-		Transport: func(handler launcher.Handler) launcher.Transport {
-			return &linker.Transport{
-				Hello:   messenger.Hello{Role: messenger.RoleEntry, Name: config.Name, Incarnation: incarnation},
-				Listen:  config.Listen,
-				TLS:     tlsConfig,
-				Handler: handler,
-				Logger:  logger,
-				Metrics: metrics.Scope,
-			}
-		},
+		Transport: p.transport(hello, config.Listen),
+		HTTPTLS:   httpTLS,
+		Logger:    p.logger,
+		Scope:     p.metrics.Scope,
+		Metrics:   p.metrics.Handler,
 	}
-	return withMetrics(ctx, config.MetricsListen, metrics.Handler, entry.Run)
+	return withMetrics(ctx, config.MetricsListen, p.metrics.Handler, entry.Run)
 }
 
-func runAgent(ctx context.Context, config launcher.AgentConfig) error {
-	logger, err := launcher.NewLogger(config.Log)
-	if err != nil {
-		return err
+// loadHTTPTLS returns nil if callers and operators are served without TLS.
+func loadHTTPTLS(files *launcher.HTTPCertificate) (*tls.Config, error) {
+	if files == nil {
+		return nil, nil
 	}
-	tlsConfig, err := config.TLS.Load()
+	pair, err := tls.LoadX509KeyPair(files.Certificate, files.Key)
 	if err != nil {
-		return fmt.Errorf("load link certificates: %w", err)
+		return nil, fmt.Errorf("load HTTP certificate: %w", err)
 	}
-	incarnation, err := launcher.NewIncarnation(config.Name)
+	return &tls.Config{Certificates: []tls.Certificate{pair}, MinVersion: tls.VersionTLS12}, nil
+}
+
+func runAgent(ctx context.Context, config launcher.AgentConfig) error {
+	p, err := newProcess(messenger.RoleAgent, config.Name, config.Log, config.TLS)
 	if err != nil {
 		return err
 	}
+	defer p.metrics.Close()
 	endpoint := &invoker.HTTP{BaseURL: config.EndpointURL, DialTimeout: dialTimeout}
 	endpoint.Prepare()
 	defer endpoint.Close()
-	metrics := launcher.NewMetrics("agent", config.Name)
-	defer metrics.Close()
 	agent := &launcher.Agent{
 		Config:      config,
-		Incarnation: incarnation,
+		Incarnation: p.incarnation,
 		Endpoint:    endpoint,
-		Logger:      logger,
-		Scope:       metrics.Scope,
-	}
-	agent.Transport = func(handler launcher.Handler) launcher.Transport {
-		return &linker.Transport{
-			Hello: agent.Hello(), TLS: tlsConfig, Handler: handler, Logger: logger, Metrics: metrics.Scope,
-		}
+		Logger:      p.logger,
+		Scope:       p.metrics.Scope,
 	}
-	return withMetrics(ctx, config.MetricsListen, metrics.Handler, agent.Run)
+	agent.Transport = p.transport(agent.Hello(), "")
+	return withMetrics(ctx, config.MetricsListen, p.metrics.Handler, agent.Run)
 }
 
 // withMetrics runs a daemon beside a server for /metrics, if there is an address.
--- a/internal/daemon/launcher/config.go
+++ b/internal/daemon/launcher/config.go
@@ -20,6 +20,12 @@
 	Format string `json:"format"`
 }
 
+// HTTPCertificate names the PEM files for HTTPS.
+type HTTPCertificate struct {
+	Certificate string `json:"certificate"`
+	Key         string `json:"key"`
+}
+
 // EntryConfig is the settings file of an entry.
 type EntryConfig struct {
 	// Name is unique among the entries.
@@ -31,7 +37,7 @@
 	// HTTPListen is the TCP address for callers and operators.
 	HTTPListen string `json:"http_listen"`
 	// HTTPTLS turns HTTPS on for callers and operators.
-	HTTPTLS *authenticator.Files `json:"http_tls"`
+	HTTPTLS *HTTPCertificate `json:"http_tls"`
 	// PlatformURL is the base URL of the platform's table service.
 	PlatformURL string `json:"platform_url"`
 	// TLS names the PEM files for links.
@@ -109,7 +115,8 @@
 	checkURL(report, "platform_url", c.PlatformURL)
 	checkFiles(report, "tls", c.TLS)
 	if c.HTTPTLS != nil {
-		checkFiles(report, "http_tls", *c.HTTPTLS)
+		checkRequired(report, "http_tls.certificate", c.HTTPTLS.Certificate)
+		checkRequired(report, "http_tls.key", c.HTTPTLS.Key)
 	}
 	if c.RootKeySHA256 != "" {
 		if _, err := authenticator.ParseKeyHash(c.RootKeySHA256); err != nil {
@@ -184,12 +191,14 @@
 }
 
 func checkFiles(report func(path, message string), path string, files authenticator.Files) {
-	for _, file := range []struct{ key, value string }{
-		{"ca", files.CA}, {"certificate", files.Certificate}, {"key", files.Key},
-	} {
-		if file.value == "" {
-			report(path+"."+file.key, "is required")
-		}
+	checkRequired(report, path+".ca", files.CA)
+	checkRequired(report, path+".certificate", files.Certificate)
+	checkRequired(report, path+".key", files.Key)
+}
+
+func checkRequired(report func(path, message string), path, value string) {
+	if value == "" {
+		report(path, "is required")
 	}
 }
 
--- /dev/null
+++ b/internal/daemon/launcher/config_test.go
@@ -0,0 +1,49 @@
+package launcher
+
+import (
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/burdockrudder/burdockrudder/internal/settings/parser"
+)
+
+// Guards against bad values that show only once a daemon runs, and against
+// findings that are reported one at a time.
+func TestBadEntrySettingsAreReportedTogether(t *testing.T) {
+	text := `{
+  "name": "entry.1",
+  "listen": "localhost:7101",
+  "http_listen": "127.0.0.1:8101",
+  "http_tls": {"certificate": "entry.crt"},
+  "platform_url": "127.0.0.1:9100",
+  "tls": {"ca": "ca.crt", "certificate": "entry-1.crt", "key": "entry-1.key"},
+  "journal_writes_per_second": 0,
+  "log": {"level": "loud", "format": "json"}
+}`
+	_, findings := parser.ParseInto("entry.jsonc", []byte(text), EntryDefaults())
+	var paths []string
+	for _, f := range findings {
+		paths = append(paths, f.Path)
+	}
+	want := []string{"name", "listen", "http_tls.key", "platform_url", "journal_writes_per_second", "log.level"}
+	if diff := cmp.Diff(want, paths); diff != "" {
+		t.Errorf("%s\n%v", diff, parser.Join(findings))
+	}
+}
+
+// Guards against required settings of an agent that may be left out.
+func TestMissingAgentSettingsAreReported(t *testing.T) {
+	_, findings := parser.ParseInto("agent.jsonc", []byte("{}"), AgentDefaults())
+	missing := make(map[string]bool)
+	for _, f := range findings {
+		missing[f.Path] = true
+	}
+	for _, path := range []string{
+		"name", "firm", "place", "failure_domain", "entries", "endpoint_url", "announce_listen", "tls.ca", "tls.certificate", "tls.key",
+	} {
+		if !missing[path] {
+			t.Errorf("no finding for %s", path)
+		}
+	}
+}
--- a/internal/daemon/launcher/entry.go
+++ b/internal/daemon/launcher/entry.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -36,8 +37,10 @@
 	Transport func(handler Handler) Transport
 	// HTTPListener replaces Config.HTTPListen.
 	HTTPListener net.Listener
-	Logger       *zap.Logger
-	Scope        tally.Scope
+	// HTTPTLS turns HTTPS on for callers and operators.
+	HTTPTLS *tls.Config
+	Logger  *zap.Logger
+	Scope   tally.Scope
 	// Metrics serves /metrics.
 	Metrics http.Handler
 	// Adjust, if set, changes the timing of the decisions.
@@ -158,6 +161,7 @@
 	return &server.Server{
 		Address:       e.Config.HTTPListen,
 		Listener:      e.HTTPListener,
+		TLS:           e.HTTPTLS,
 		RootKeySHA256: e.Config.RootKeySHA256,
 		Dispatcher:    control,
 		Settings:      &settingsStore{store: &versioner.Store{Table: e.Table}, control: control},
