--- a/internal/daemon/launcher/config_test.go
+++ b/internal/daemon/launcher/config_test.go
@@ -1,6 +1,9 @@
 package launcher
 
 import (
+	"os"
+	"reflect"
+	"strings"
 	"testing"
 
 	"github.com/google/go-cmp/cmp"
@@ -47,3 +50,20 @@
 		}
 	}
 }
+
+// Guards against settings of the daemons that the reference page does not list.
+func TestReferencePageListsAllSettings(t *testing.T) {
+	page, err := os.ReadFile("../../../docs/settings.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, config := range []any{EntryConfig{}, AgentConfig{}, LogConfig{}, HTTPCertificate{}} {
+		fields := reflect.TypeOf(config)
+		for i := range fields.NumField() {
+			key := fields.Field(i).Tag.Get("json")
+			if !strings.Contains(string(page), "`"+key+"`") {
+				t.Errorf("docs/settings.md does not list %s of %s", key, fields.Name())
+			}
+		}
+	}
+}
