--- a/internal/command/starter/demo.go
+++ b/internal/command/starter/demo.go
@@ -26,6 +26,7 @@
 	fault      string
 	ids        string
 	report     string
+	traceDir   string
 	logLevel   string
 	seed       uint64
 	jobs       int
@@ -52,6 +53,7 @@
 	f.StringVar(&flags.fault, "fault", string(runner.FaultNone), fmt.Sprintf("fault to inject, one of %q", runner.Faults))
 	f.StringVar(&flags.ids, "ids", string(runner.IDsOwn), "submission ids: own (chosen by the clients) or tickets")
 	f.StringVar(&flags.report, "report", "", "write the report to this file as one JSON object")
+	f.StringVar(&flags.traceDir, "trace-dir", "", "record a trace of each entry in this directory, for replay")
 	f.StringVar(&flags.logLevel, "log-level", "error", "log level of the processes: debug, info, warn, error")
 	f.Uint64Var(&flags.seed, "seed", defaultDemoSeed, "seed of the load and of the decisions")
 	f.IntVar(&flags.jobs, "jobs", defaultDemoJobs, "jobs to submit")
@@ -103,6 +105,7 @@
 		Fault:      runner.Fault(flags.fault),
 		IDs:        runner.IDs(flags.ids),
 		TakeOut:    flags.takeOut,
+		TraceDir:   flags.traceDir,
 		Logger:     logger,
 	}
 	if !flags.quiet {
--- a/internal/demo/runner/cluster.go
+++ b/internal/demo/runner/cluster.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"path/filepath"
 	"time"
 
 	"github.com/uber-go/tally/v4"
@@ -46,6 +47,7 @@
 type cluster struct {
 	deployment Deployment
 	seed       uint64
+	traceDir   string
 	logger     *zap.Logger
 	authority  *authenticator.Authority
 	keeper     *tablekeeper.Keeper
@@ -78,21 +80,21 @@
 
 // startCluster starts the platform, the entries and the agents, and waits until
 // every entry knows every endpoint.
-func startCluster(ctx context.Context, d Deployment, seed uint64, logger *zap.Logger, group *errgroup.Group) (*cluster, error) {
+func startCluster(ctx context.Context, c *cluster) (*cluster, error) {
 	authority, err := authenticator.NewAuthority("demo", certificateAge)
 	if err != nil {
 		return nil, err
 	}
-	c := &cluster{deployment: d, seed: seed, logger: logger, authority: authority, group: group}
+	c.authority = authority
 	if err := c.startPlatform(ctx); err != nil {
 		return nil, err
 	}
-	for i := range d.Entries {
+	for i := range c.deployment.Entries {
 		if err := c.startEntry(ctx, fmt.Sprintf("entry-%d", i+1)); err != nil {
 			return nil, err
 		}
 	}
-	for i := range d.Endpoints {
+	for i := range c.deployment.Endpoints {
 		if err := c.startAgent(ctx, i); err != nil {
 			return nil, err
 		}
@@ -181,7 +183,7 @@
 		Delay:   c.delay,
 	}
 	p.entry = &launcher.Entry{
-		Config:       launcher.EntryConfig{Name: name, Listen: address, JournalWritesPerSecond: journalShare},
+		Config:       c.entryConfig(name, address),
 		Incarnation:  incarnation,
 		Seed:         c.seed,
 		Table:        isolatedTable{Table: &storer.Client{BaseURL: c.tableURL, HTTP: &http.Client{}, Timeout: tableTimeout}, isolation: p.isolation},
@@ -198,6 +200,17 @@
 	return nil
 }
 
+func (c *cluster) entryConfig(name, address string) launcher.EntryConfig {
+	config := launcher.EntryDefaults()
+	config.Name = name
+	config.Listen = address
+	config.JournalWritesPerSecond = journalShare
+	if c.traceDir != "" {
+		config.TraceFile = filepath.Join(c.traceDir, name+".jsonl")
+	}
+	return config
+}
+
 // run starts a daemon. What a dead daemon returns does not matter any more.
 func (c *cluster) run(ctx context.Context, i *isolation, daemon func(context.Context) error) context.CancelFunc {
 	own, stop := context.WithCancel(context.WithoutCancel(ctx))
--- a/internal/demo/runner/runner.go
+++ b/internal/demo/runner/runner.go
@@ -30,6 +30,8 @@
 	TakeOut bool
 	// Progress gets a line per second; nil means none.
 	Progress io.Writer
+	// TraceDir gets a trace of each entry's decisions; empty means none.
+	TraceDir string
 	Logger   *zap.Logger
 
 	jobs    []plannedJob
@@ -82,7 +84,9 @@
 	group, ctx := errgroup.WithContext(ctx)
 	startCtx, cancel := context.WithTimeout(ctx, startPatience)
 	defer cancel()
-	cluster, err := startCluster(startCtx, r.Deployment, r.Seed, r.Logger, group)
+	cluster, err := startCluster(startCtx, &cluster{
+		deployment: r.Deployment, seed: r.Seed, traceDir: r.TraceDir, logger: r.Logger, group: group,
+	})
 	if err != nil {
 		return nil, err
 	}
