--- /dev/null
+++ b/internal/proof/meter/workload.go
@@ -0,0 +1,172 @@
+package meter
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"github.com/burdockrudder/burdockrudder/internal/demo/scorer"
+	"github.com/burdockrudder/burdockrudder/internal/dispatch/messenger"
+)
+
+// The shape of the load is that of the demo.
+const (
+	shortestRun      = 50 * time.Millisecond
+	longestRun       = time.Second
+	shortestStraggle = 2 * time.Second
+	longestStraggle  = 5 * time.Second
+	largestJob       = 20
+	highShare        = 0.15
+)
+
+// The shape of bursts.
+const (
+	burstLoad   = 3.0
+	burstLength = 2.0
+	burstPeriod = 10.0
+)
+
+type plannedTask struct {
+	runTime, declared time.Duration
+}
+
+type plannedJob struct {
+	arrival time.Duration
+	high    bool
+	tasks   []plannedTask
+}
+
+// planLoad draws Poisson arrivals over the span of the run.
+func planLoad(o Options) []plannedJob {
+	random := rand.New(rand.NewPCG(o.Seed, 1))
+	rate := o.capacity() / (o.meanTask() * (1 + largestJob) / 2)
+	var jobs []plannedJob
+	at := 0.0
+	for {
+		at = o.nextArrival(at, random.ExpFloat64()/rate)
+		if at > o.Span.Seconds() {
+			return jobs
+		}
+		job := o.planJob(random)
+		job.arrival = time.Duration(at * float64(time.Second))
+		jobs = append(jobs, job)
+	}
+}
+
+// nextArrival returns the time at which the offered work since from, counted in
+// jobs at full capacity, has grown by the given step.
+func (o Options) nextArrival(from, step float64) float64 {
+	if !o.Bursts {
+		return from + step/o.Load
+	}
+	calm := (o.Load*burstPeriod - burstLoad*burstLength) / (burstPeriod - burstLength)
+	for {
+		phase := math.Mod(from, burstPeriod)
+		load, until := burstLoad, burstLength
+		if phase >= burstLength {
+			load, until = calm, burstPeriod
+		}
+		if step <= load*(until-phase) {
+			return from + step/load
+		}
+		step -= load * (until - phase)
+		// The smallest step past the boundary keeps rounding from repeating it.
+		from += until - phase + 1e-9
+	}
+}
+
+func (o Options) planJob(random *rand.Rand) plannedJob {
+	job := plannedJob{high: random.Float64() < highShare}
+	for range 1 + random.IntN(largestJob) {
+		run := between(random, shortestRun, longestRun)
+		straggle := between(random, shortestStraggle, longestStraggle)
+		if random.Float64() < o.StraggleShare {
+			run = straggle
+		}
+		wrong := math.Pow(o.DeclaredError, 2*random.Float64()-1)
+		job.tasks = append(job.tasks, plannedTask{
+			runTime:  run,
+			declared: time.Duration(float64(run) * wrong).Round(time.Millisecond),
+		})
+	}
+	return job
+}
+
+func between(random *rand.Rand, low, high time.Duration) time.Duration {
+	return (low + time.Duration(random.Int64N(int64(high-low)))).Round(time.Millisecond)
+}
+
+// meanTask is the mean run time of a task, in seconds on speed 1.
+func (o Options) meanTask() float64 {
+	usual := (shortestRun + longestRun).Seconds() / 2
+	straggle := (shortestStraggle + longestStraggle).Seconds() / 2
+	return (1-o.StraggleShare)*usual + o.StraggleShare*straggle
+}
+
+// speed returns the speed of an endpoint. The order is mixed, so that each
+// failure domain has fast and slow ones.
+func (o Options) speed(agent int) float64 {
+	const stride = 4
+	if o.Agents == 1 {
+		return 1
+	}
+	position := agent * stride % o.Agents
+	if o.Agents%2 == 0 {
+		// A stride of 4 would visit only a part of an even number of places.
+		position = agent
+	}
+	return 1 - (1-o.SlowestSpeed)*float64(position)/float64(o.Agents-1)
+}
+
+// capacity is the work, in run time on speed 1, that all slots do per second.
+func (o Options) capacity() float64 {
+	sum := 0.0
+	for i := range o.Agents {
+		sum += float64(o.Slots) * o.speed(i)
+	}
+	return sum
+}
+
+func (o Options) slots() []scorer.Slot {
+	var slots []scorer.Slot
+	for i := range o.Agents {
+		for range o.Slots {
+			slots = append(slots, scorer.Slot{Speed: o.speed(i)})
+		}
+	}
+	return slots
+}
+
+func scorerJobs(jobs []plannedJob) []scorer.Job {
+	converted := make([]scorer.Job, len(jobs))
+	for i, job := range jobs {
+		converted[i] = scorer.Job{ID: jobID(i), Arrival: job.arrival}
+		if job.high {
+			converted[i].Priority = 1
+		}
+		for _, task := range job.tasks {
+			converted[i].Tasks = append(converted[i].Tasks, scorer.Task{RunTime: task.runTime})
+		}
+	}
+	return converted
+}
+
+func jobID(number int) string { return fmt.Sprintf("job-%06d", number) }
+
+// submission returns a job as its caller submits it.
+func (j plannedJob) submission(number int) messenger.Submission {
+	submission := messenger.Submission{
+		Key:      messenger.SubmissionKey{Firm: firmName, Service: serviceName, ID: jobID(number)},
+		Kind:     messenger.KindJob,
+		Priority: messenger.PriorityNormal,
+		Digest:   jobID(number),
+	}
+	if j.high {
+		submission.Priority = messenger.PriorityHigh
+	}
+	for _, task := range j.tasks {
+		submission.Tasks = append(submission.Tasks, messenger.TaskSpec{DeclaredRunTime: task.declared})
+	}
+	return submission
+}
