Start the longest declared task of a job first

Cause: tasks of a job were sent in the order of their index, so a long one could start last and keep the job waiting. The ideal schedule starts the longest first.

--- a/internal/dispatch/limiter/heaps.go
+++ b/internal/dispatch/limiter/heaps.go
@@ -1,12 +1,17 @@
 package limiter
 
-// backlog orders the tasks of one team by arrival of the job, then task index.
+// backlog orders the tasks of one team by arrival of the job, then longest
+// declared run time, then task index. A long task that starts last would keep the
+// whole job waiting.
 type backlog []*entry
 
 func earlier(a, b *entry) bool {
 	if a.Arrival != b.Arrival {
 		return a.Arrival < b.Arrival
 	}
+	if a.Declared != b.Declared {
+		return a.Declared > b.Declared
+	}
 	if a.Task.Index != b.Task.Index {
 		return a.Task.Index < b.Task.Index
 	}
--- a/internal/dispatch/limiter/queue.go
+++ b/internal/dispatch/limiter/queue.go
@@ -30,7 +30,8 @@
 
 // Queue holds the waiting tasks of one class: one firm, service and label set.
 // The order is priority with ageing, then weighted fair share among teams, then
-// arrival of the job, then task index. Teams at their running limit are passed over.
+// arrival of the job, then longest declared run time, then task index. Teams at
+// their running limit are passed over.
 type Queue struct {
 	firm    string
 	teams   *Teams
--- a/internal/dispatch/limiter/queue_test.go
+++ b/internal/dispatch/limiter/queue_test.go
@@ -27,10 +27,13 @@
 	return Item{Task: task(id), Team: team, Priority: p, Enqueued: epoch.Add(enqueued), Arrival: arrival}
 }
 
-// Guards against an order other than priority with ageing, team share, arrival, index.
+// Guards against an order other than priority with ageing, team share, arrival,
+// longest declared run time, index.
 func TestQueueOrder(t *testing.T) {
 	second := item("a", "t", normal, 0, 1)
 	second.Task.Index = 1
+	long := second
+	long.Declared = time.Second
 	for _, scenario := range []struct {
 		name  string
 		items []Item
@@ -40,6 +43,8 @@
 		{"priority before arrival", []Item{item("a", "t", low, 0, 1), item("b", "t", high, 0, 2)}, 0, "b0 a0 "},
 		{"arrival of the job", []Item{item("b", "t", normal, 0, 2), item("a", "t", normal, 0, 1)}, 0, "a0 b0 "},
 		{"task index", []Item{second, item("a", "t", normal, 0, 1)}, 0, "a0 a1 "},
+		{"longest declared of a job", []Item{item("a", "t", normal, 0, 1), long}, 0, "a1 a0 "},
+		{"arrival before declared", []Item{long, item("b", "t", normal, 0, 0)}, 0, "b0 a1 "},
 		{"rises after 2 s", []Item{item("a", "t", low, 0, 1), item("b", "t", normal, 2*time.Second, 2)},
 			2 * time.Second, "a0 b0 "},
 		{"low behind fresh high before 4 s", []Item{item("a", "t", low, 0, 1), item("b", "t", high, 3*time.Second, 2)},
