Report a changed load to the other entries at once

Cause: an entry learnt that another one had filled or left a slot only from the next report, up to 500 ms later. It sent tasks to full endpoints and left free slots unused. The agent now reports a changed load at once to the entries that do not know it, at most 100 times a second over all entries. These reports repeat the sequence, so that they use up no place among the dated ones. A refusal that the load does not explain still holds until the next sequence.

The scripts that show reports now also compare their load.

--- a/internal/dispatch/coordinator/members.go
+++ b/internal/dispatch/coordinator/members.go
@@ -138,16 +138,19 @@
 	}
 }
 
-// report takes an agent's periodic report.
+// report takes an agent's report: a periodic one, or one that repeats the last
+// sequence because the load has changed.
 func (s *State) report(from messenger.Incarnation, m messenger.Report) {
 	a := s.agentOf[from]
 	if a == nil || m.Sequence < a.sequence {
 		return
 	}
 	first := a.sequence == 0
+	if m.Sequence > a.sequence {
+		a.heldBack = false
+	}
 	a.sequence = m.Sequence
 	a.settingsVersion = m.SettingsVersion
-	a.heldBack = false
 	if first || a.scope.Service != m.Load.Service || !slices.Equal(a.load.Labels, m.Load.Labels) ||
 		a.load.Slots != m.Load.Slots {
 		a.load = m.Load
--- a/internal/dispatch/gatekeeper/reports.go
+++ b/internal/dispatch/gatekeeper/reports.go
@@ -27,7 +27,25 @@
 	s.reportedAt = s.now
 }
 
+// reportLoad tells the entries that do not know the present load. Without it, an
+// entry would learn only from the next report that another one has filled or left
+// a slot. These reports repeat the sequence, which dates the settings.
+func (s *State) reportLoad() {
+	interval := loadReportInterval * time.Duration(len(s.entries))
+	if s.sequence == 0 || s.now.Sub(s.loadToldAt) < interval {
+		return
+	}
+	load := s.running + len(s.queue)
+	for _, entry := range s.sortedEntries() {
+		if s.entries[entry].told != load {
+			s.sendReport(entry)
+			s.loadToldAt = s.now
+		}
+	}
+}
+
 func (s *State) sendReport(entry messenger.Incarnation) {
+	s.entries[entry].told = s.running + len(s.queue)
 	s.send(entry, messenger.Report{
 		Sequence:        s.sequence,
 		Load:            s.load(),
--- a/internal/dispatch/gatekeeper/results.go
+++ b/internal/dispatch/gatekeeper/results.go
@@ -33,7 +33,7 @@
 
 func (s *State) sendFinished(to messenger.Incarnation, r *record) {
 	s.send(to, messenger.Finished{
-		Task: r.task, Attempt: r.attempt, Outcome: r.outcome, RunTime: r.runTime, Load: s.shortLoad(),
+		Task: r.task, Attempt: r.attempt, Outcome: r.outcome, RunTime: r.runTime, Load: s.shortLoad(to),
 	})
 }
 
--- a/internal/dispatch/gatekeeper/script_test.go
+++ b/internal/dispatch/gatekeeper/script_test.go
@@ -47,7 +47,7 @@
 	g.now = step.At
 	g.effects = nil
 	g.apply(step)
-	reports := strings.Contains(strings.Join(step.Want, " "), "report")
+	reports := step.Has("reports") || strings.Contains(strings.Join(step.Want, " "), "report")
 	var got []string
 	for _, effect := range g.effects {
 		if text := render(effect, reports); text != "" {
@@ -202,7 +202,11 @@
 func renderMessage(m messenger.Message) string {
 	switch m := m.(type) {
 	case messenger.Report:
-		return fmt.Sprintf("report slots=%d draining=%t v=%d", m.Load.Slots, m.Load.Draining, m.SettingsVersion)
+		text := fmt.Sprintf("report slots=%d draining=%t v=%d", m.Load.Slots, m.Load.Draining, m.SettingsVersion)
+		if load := m.Load.Running + m.Load.Queued; load > 0 {
+			text += fmt.Sprintf(" load=%d", load)
+		}
+		return text
 	case messenger.Refused:
 		return fmt.Sprintf("refused %s %s never_started=%t", short(m.Task, m.Attempt), m.Reason, m.NeverStarted)
 	case messenger.Finished:
--- a/internal/dispatch/gatekeeper/starts.go
+++ b/internal/dispatch/gatekeeper/starts.go
@@ -40,6 +40,10 @@
 		return
 	}
 	r := s.newRecord(m)
+	if l := s.entries[from]; l != nil {
+		// The entry counts its own starts.
+		l.told++
+	}
 	if s.running < s.endpoint.Slots {
 		s.invoke(r)
 		return
@@ -82,7 +86,7 @@
 	case messenger.RecordTombstoned:
 		s.send(from, messenger.Refused{
 			Task: r.task, Attempt: r.attempt, Reason: messenger.RefusedTombstone,
-			NeverStarted: true, Load: s.shortLoad(),
+			NeverStarted: true, Load: s.shortLoad(from),
 		})
 	case messenger.RecordQueued, messenger.RecordRunning:
 		// The answer follows when the task ends.
@@ -112,7 +116,7 @@
 func (s *State) refuse(to messenger.Incarnation, m messenger.Start, reason messenger.RefusalReason, never bool) {
 	s.emit(Decision{Task: m.Task, Attempt: m.Attempt, Owner: m.Owner, Reason: reason})
 	s.send(to, messenger.Refused{
-		Task: m.Task, Attempt: m.Attempt, Reason: reason, NeverStarted: never, Load: s.shortLoad(),
+		Task: m.Task, Attempt: m.Attempt, Reason: reason, NeverStarted: never, Load: s.shortLoad(to),
 	})
 }
 
@@ -201,7 +205,7 @@
 	s.emit(Decision{Task: r.task, Attempt: r.attempt, Owner: r.owner, Reason: reason})
 	for _, to := range s.listeners(r) {
 		s.send(to, messenger.Refused{
-			Task: r.task, Attempt: r.attempt, Reason: reason, NeverStarted: true, Load: s.shortLoad(),
+			Task: r.task, Attempt: r.attempt, Reason: reason, NeverStarted: true, Load: s.shortLoad(to),
 		})
 	}
 }
--- a/internal/dispatch/gatekeeper/state.go
+++ b/internal/dispatch/gatekeeper/state.go
@@ -25,6 +25,9 @@
 	minRecordHorizon = 6 * time.Minute
 	// reportTimes is how many sent reports are remembered to date an echo.
 	reportTimes = 64
+	// loadReportInterval, times the number of entries, is the least time between
+	// reports of a changed load. It bounds them to 100 a second, about 10 KB/s.
+	loadReportInterval = 10 * time.Millisecond
 )
 
 // State is an agent's decision state. Its exported fields are set before the
@@ -49,7 +52,9 @@
 	sequence   uint64
 	sentAt     [reportTimes]time.Time
 	reportedAt time.Time
-	entries    map[messenger.Incarnation]bool
+	entries    map[messenger.Incarnation]*listener
+	// loadToldAt is when a changed load was last reported.
+	loadToldAt time.Time
 
 	records     map[messenger.TaskKey]*record
 	expiring    []expiry
@@ -81,6 +86,12 @@
 	stoppedByFence bool
 }
 
+// listener is a linked entry.
+type listener struct {
+	// told is the load that the entry knows of, running and queued.
+	told int
+}
+
 type expiry struct {
 	task messenger.TaskKey
 	at   time.Time
@@ -108,7 +119,7 @@
 	case Tick:
 		s.tick()
 	case EntryLinked:
-		s.entries[e.Entry] = true
+		s.entries[e.Entry] = &listener{}
 		s.report(e.Entry)
 	case EntryUnlinked:
 		delete(s.entries, e.Entry)
@@ -128,6 +139,7 @@
 		s.reportAll()
 		s.checkDrained()
 	}
+	s.reportLoad()
 	return s.effects
 }
 
@@ -136,7 +148,7 @@
 		return
 	}
 	s.lifeCycle = newLifeCycle()
-	s.entries = make(map[messenger.Incarnation]bool)
+	s.entries = make(map[messenger.Incarnation]*listener)
 	s.records = make(map[messenger.TaskKey]*record)
 	s.fenced = make(map[messenger.Incarnation]*fence)
 	s.witnessed = make(map[messenger.SubmissionKey]witness)
@@ -181,9 +193,13 @@
 	return load
 }
 
-// shortLoad omits what does not change from message to message.
-func (s *State) shortLoad() messenger.EndpointLoad {
+// shortLoad is the load as told to an entry with an answer. It omits what does
+// not change from message to message.
+func (s *State) shortLoad(to messenger.Incarnation) messenger.EndpointLoad {
 	load := s.load()
+	if l := s.entries[to]; l != nil {
+		l.told = load.Running + load.Queued
+	}
 	load.Service = ""
 	load.Labels = nil
 	return load
