Let waiting tasks rise by one priority after 10 s

Cause: after a burst of 3 times the capacity for 2 s, normal tasks wait up to 7 s. They rose to the high priority after 2 s and passed the high tasks that arrived later.

--- a/internal/dispatch/limiter/queue.go
+++ b/internal/dispatch/limiter/queue.go
@@ -10,8 +10,10 @@
 )
 
 // riseAfter is the wait after which a task rises by one priority. A task of low
-// priority thus competes with fresh tasks of high priority after 4 s.
-const riseAfter = 2 * time.Second
+// priority thus competes with fresh tasks of high priority after 20 s. It exceeds
+// the 7 s that normal tasks wait after a burst of 3 times the capacity for 2 s;
+// with 2 s, they passed the high tasks of the burst.
+const riseAfter = 10 * time.Second
 
 const levels = int(messenger.PriorityHigh) + 1
 
