Hold a task back when the wait fits once into the gain

Cause: the margin of 1.5 sent tasks to slow endpoints that would have ended earlier on the next slot of a faster one. That cost the tail, in particular of the high class.

--- a/internal/dispatch/placer/choose.go
+++ b/internal/dispatch/placer/choose.go
@@ -57,7 +57,7 @@
 // DefaultPolicy returns the options that New sets. BenchmarkPolicies compares
 // them with others.
 func DefaultPolicy() Policy {
-	return Policy{HoldBack: true, Margin: 1.5}
+	return Policy{HoldBack: true, Margin: 1}
 }
 
 // Choose returns the endpoint with the least expected finish among those with a
