Leave free slots to more urgent tasks at other entries

Cause: an entry used each slot that its tasks left for its own waiting tasks, also for normal ones while high ones waited at a peer. An entry leaves the best free slots to waiting tasks of a higher priority at a peer that it hears.

If a peer with urgent tasks cannot reach the agents, as many slots as that job has waiting tasks stay unused.

PeerStatus holds a list now, so that a test of the linker compares it by go-cmp instead of !=.

--- a/internal/dispatch/coordinator/dispatch.go
+++ b/internal/dispatch/coordinator/dispatch.go
@@ -57,20 +57,23 @@
 
 // enqueue makes a task wait for a slot, under its present attempt number.
 func (s *State) enqueue(t *task) {
-	spec := t.job.submission.Tasks[t.index]
 	if t.class == nil {
-		t.class = s.classOf(t.job, spec.Labels)
+		t.class = s.classOf(t.job, t.job.submission.Tasks[t.index].Labels)
 	}
 	t.phase = taskWaiting
-	t.class.queue.Push(s.now, limiter.Item{
+	t.class.queue.Push(s.now, s.item(t))
+}
+
+func (s *State) item(t *task) limiter.Item {
+	return limiter.Item{
 		Task:     t.key(),
 		Attempt:  t.attempt,
 		Team:     t.job.submission.Team,
 		Priority: t.job.submission.Priority,
 		Enqueued: t.job.admittedAt,
 		Arrival:  t.job.arrival,
-		Declared: spec.DeclaredRunTime,
-	})
+		Declared: t.job.submission.Tasks[t.index].DeclaredRunTime,
+	}
 }
 
 // mayDispatch is false while this entry has not proved that it was not replaced.
@@ -128,6 +131,7 @@
 		Declared: t.job.submission.Tasks[t.index].DeclaredRunTime,
 		Avoid:    avoid,
 		Waiting:  place,
+		Ahead:    s.ahead(c, s.item(t)),
 		Urgent:   t.job.submission.Priority == messenger.PriorityHigh,
 	})
 }
--- a/internal/dispatch/coordinator/peers.go
+++ b/internal/dispatch/coordinator/peers.go
@@ -19,6 +19,8 @@
 	version     uint64
 	// confirmedAt is when the status was sent that the peer's last one echoes.
 	confirmedAt time.Time
+	// waiting is what the peer has last said to wait there.
+	waiting waitingList
 }
 
 func (s *State) peerLinked(e PeerLinked) {
@@ -75,6 +77,7 @@
 	}
 	s.send(p.incarnation, messenger.PeerStatus{
 		Sequence: s.peerSeq, EchoSequence: p.sequence, SettingsVersion: s.version,
+		Waiting: s.waiting(),
 	})
 }
 
@@ -85,6 +88,7 @@
 	}
 	p.sequence = m.Sequence
 	p.version = m.SettingsVersion
+	p.waiting = m.Waiting
 	if m.EchoSequence > 0 && m.EchoSequence <= s.peerSeq && s.peerSeq-m.EchoSequence < peerTimes {
 		p.confirmedAt = s.peerSent[m.EchoSequence%peerTimes]
 	}
--- a/internal/dispatch/coordinator/script_render_test.go
+++ b/internal/dispatch/coordinator/script_render_test.go
@@ -63,8 +63,11 @@
 
 func renderSend(e Send, wanted string) string {
 	text := renderMessage(e.Message)
-	if kind, _, _ := strings.Cut(text, " "); kind == "status" && !strings.Contains(wanted, " status ") {
-		return ""
+	switch kind, _, _ := strings.Cut(text, " "); kind {
+	case "status", "peer_status":
+		if !strings.Contains(wanted, " "+kind+" ") {
+			return ""
+		}
 	}
 	if text == "" {
 		return ""
@@ -88,6 +91,12 @@
 			state = string(m.Settings.State)
 		}
 		return fmt.Sprintf("status v=%d age=%s settings=%s", m.SettingsVersion, m.ConfirmedAge, state)
+	case messenger.PeerStatus:
+		text := "peer_status"
+		for _, w := range m.Waiting {
+			text += fmt.Sprintf(" %s:%d:%d", w.Service, w.Priority, w.Tasks)
+		}
+		return text
 	case messenger.Forward:
 		text := fmt.Sprintf("forward %s call=%d tasks=%d", m.Submission.Key.ID, m.Call, len(m.Submission.Tasks))
 		if m.Cancel {
--- a/internal/dispatch/coordinator/script_test.go
+++ b/internal/dispatch/coordinator/script_test.go
@@ -60,6 +60,8 @@
 	echo    uint64
 	version uint64
 	fenced  bool
+	// waiting is the number of tasks of high priority that wait there.
+	waiting int
 }
 
 func newDesk(t *testing.T) *desk {
@@ -226,5 +228,11 @@
 func (d *desk) peerStatus(name string) {
 	p := d.peers[name]
 	p.sequence++
-	d.receive(name, messenger.PeerStatus{Sequence: p.sequence, EchoSequence: p.echo, SettingsVersion: p.version})
+	m := messenger.PeerStatus{Sequence: p.sequence, EchoSequence: p.echo, SettingsVersion: p.version}
+	if p.waiting > 0 {
+		m.Waiting = []messenger.Waiting{{
+			Firm: "lamis", Service: "dispatch", Priority: messenger.PriorityHigh, Tasks: p.waiting,
+		}}
+	}
+	d.receive(name, m)
 }
--- a/internal/dispatch/coordinator/script_verbs_test.go
+++ b/internal/dispatch/coordinator/script_verbs_test.go
@@ -107,6 +107,7 @@
 		d.receive(from, messenger.Witnessed{Key: keyNamed(step.Word(1)), Accepted: !step.Has("rejected")})
 	case "peer_status":
 		d.peers[from].version = uint64(step.Int(d.t, "v", 1))
+		d.peers[from].waiting = step.Int(d.t, "high", 0)
 		d.peerStatus(from)
 	case "forward":
 		d.receive(from, messenger.Forward{
@@ -126,7 +127,8 @@
 	s := messenger.Submission{
 		Key:  keyNamed(id),
 		Kind: messenger.Kind(step.Text("kind", "job")), Team: step.Text("team", ""),
-		Digest: step.Text("digest", id), Repeatable: step.Has("repeatable"),
+		Priority: messenger.Priority(step.Int(d.t, "priority", 0)),
+		Digest:   step.Text("digest", id), Repeatable: step.Has("repeatable"),
 		Deadline: step.Duration(d.t, "deadline", 0),
 	}
 	s.Key.Service = step.Text("service", "dispatch")
--- a/internal/dispatch/coordinator/state.go
+++ b/internal/dispatch/coordinator/state.go
@@ -45,6 +45,9 @@
 	peerSeq  uint64
 	peerSent [peerTimes]time.Time
 	statusAt time.Time
+	// waitingTold is what the peers were told to wait here, at waitingToldAt.
+	waitingTold   waitingList
+	waitingToldAt time.Time
 
 	jobs      map[messenger.SubmissionKey]*job
 	arrivals  uint64
@@ -86,6 +89,7 @@
 	s.checkStall()
 	s.apply(event)
 	s.dispatch()
+	s.tellWaiting()
 	s.handledAt = now
 	return s.effects
 }
--- a/internal/dispatch/limiter/queue_test.go
+++ b/internal/dispatch/limiter/queue_test.go
@@ -153,7 +153,7 @@
 		if !ok {
 			t.Fatalf("empty after %d", popped)
 		}
-		a, b := effective(now, before), effective(now, got)
+		a, b := Effective(now, before), Effective(now, got)
 		if popped > 0 && (b > a || a == b && got.Arrival <= before.Arrival) {
 			t.Fatalf("%+v after %+v", got, before)
 		}
--- a/internal/dispatch/limiter/scan.go
+++ b/internal/dispatch/limiter/scan.go
@@ -100,7 +100,7 @@
 // the same or a higher priority after ageing.
 func (q *Queue) claim(now time.Time, e *entry) int {
 	at := len(q.held)
-	for at > 0 && effective(now, q.held[at-1].Item) < e.level {
+	for at > 0 && Effective(now, q.held[at-1].Item) < e.level {
 		at--
 	}
 	return at
--- a/internal/dispatch/messenger/messages.go
+++ b/internal/dispatch/messenger/messages.go
@@ -170,6 +170,20 @@
 	Sequence        uint64 `json:"sequence"`
 	EchoSequence    uint64 `json:"echo_sequence"`
 	SettingsVersion uint64 `json:"settings_version"`
+	// Waiting lists the most urgent waiting job of each class of tasks.
+	Waiting []Waiting `json:"waiting,omitempty"`
+}
+
+// Waiting is the most urgent job that waits for slots at an entry, among the
+// tasks that need the same service and labels.
+type Waiting struct {
+	Firm    string   `json:"firm"`
+	Service string   `json:"service"`
+	Labels  []string `json:"labels,omitempty"`
+	// Priority includes ageing.
+	Priority Priority `json:"priority"`
+	// Tasks is how many tasks of the job wait.
+	Tasks int `json:"tasks"`
 }
 
 // Forward passes a submission to its owner, or asks the owner about it when
--- /dev/null
+++ b/internal/dispatch/placer/behind_test.go
@@ -0,0 +1,36 @@
+package placer
+
+import (
+	"math/rand/v2"
+	"testing"
+)
+
+// Guards against slots that are taken although more urgent tasks of other entries
+// wait for them, and against free slots that are left to nobody.
+func TestChooseBehindOthers(t *testing.T) {
+	for _, scenario := range []struct {
+		name  string
+		ahead int
+		want  string
+	}{
+		{"nobody ahead", 0, "e0"},
+		{"one of two slots left", 1, "e0"},
+		{"the best endpoint is theirs", 2, "e1"},
+		{"only the worst endpoint is left", 5, "e2"},
+		{"no slot is left", 6, ""},
+	} {
+		t.Run(scenario.name, func(t *testing.T) {
+			x, now := fleet(3)
+			for i, name := range []string{"e0", "e1", "e2"} {
+				x.members[name].Slots = 2
+				x.members[name].factor = float64(1 + i)
+				x.refresh(x.members[name])
+			}
+			q := Query{Firm: "f", Service: "s", Ahead: scenario.ahead}
+			choice, ok := x.Choose(now, rand.New(rand.NewPCG(1, 1)), q)
+			if choice.Endpoint != scenario.want || ok != (scenario.want != "") {
+				t.Errorf("got %q, %t, want %q", choice.Endpoint, ok, scenario.want)
+			}
+		})
+	}
+}
--- a/internal/dispatch/placer/choose.go
+++ b/internal/dispatch/placer/choose.go
@@ -26,6 +26,9 @@
 	// endpoint, from 1. Without it (0), the task is not held back: if every task
 	// were taken for the next in line, the queue would grow without bound.
 	Waiting int
+	// Ahead is how many tasks of other entries come first. The best free slots are
+	// left to them, unless so many endpoints are free that only some are compared.
+	Ahead int
 }
 
 // Choice is a placement decision with what a log line needs.
@@ -74,7 +77,11 @@
 		return Choice{}, false
 	}
 	s := selection{query: &q, avoid: c.avoids(q.Avoid)}
-	s.compare(r, c)
+	if q.Ahead > 0 && len(c.free) <= compareAll {
+		s.compareBehind(c)
+	} else {
+		s.compare(r, c)
+	}
 	if s.best == nil {
 		return Choice{}, false
 	}
--- a/internal/transport/linker/link_test.go
+++ b/internal/transport/linker/link_test.go
@@ -9,6 +9,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
@@ -130,8 +131,8 @@
 	if _, err := far.Write(appendFrame(appendFrame(nil, []byte{255, 0xa0}), known)); err != nil {
 		t.Fatal(err)
 	}
-	if m := <-received; m != (messenger.PeerStatus{Sequence: 7}) {
-		t.Errorf("received %+v", m)
+	if diff := cmp.Diff(messenger.Message(messenger.PeerStatus{Sequence: 7}), <-received); diff != "" {
+		t.Error(diff)
 	}
 	l.fail(errReplaced)
 	_ = group.Wait()
