Plot response over ideal against load

The command response measures the decision stack at loads from 0.30 to 0.95 and draws the curve against a stored one.

--- a/internal/command/starter/starter.go
+++ b/internal/command/starter/starter.go
@@ -33,7 +33,7 @@
 
 // Commands returns the commands beside the operators' ones.
 func Commands() []*cobra.Command {
-	return []*cobra.Command{entryCommand(), agentCommand(), replayCommand(), certificatesCommand(), demoCommand()}
+	return []*cobra.Command{entryCommand(), agentCommand(), replayCommand(), certificatesCommand(), demoCommand(), responseCommand()}
 }
 
 func entryCommand() *cobra.Command {
