Let agents learn the speed of their endpoint

Cause: each entry learnt the speeds from its own tasks, a third of all. Until then, and after each restart of an entry, tasks went to slow endpoints. A start now carries the expected run time, and the agent, which sees the tasks of all entries, tells the observed slowness with its load. Failed tasks do not count.

--- a/internal/dispatch/coordinator/dispatch.go
+++ b/internal/dispatch/coordinator/dispatch.go
@@ -160,6 +160,8 @@
 }
 
 func (s *State) startMessage(t *task, attempt int, a *agent) messenger.Start {
+	key := t.job.submission.Key
+	spec := t.job.submission.Tasks[t.index]
 	return messenger.Start{
 		Task:             t.key(),
 		Attempt:          attempt,
@@ -169,7 +171,8 @@
 		TimeLeft:         t.job.deadlineAt.Sub(s.now),
 		Priority:         t.job.submission.Priority,
 		Repeatable:       t.job.submission.Repeatable,
-		Payload:          t.job.submission.Tasks[t.index].Payload,
+		Payload:          spec.Payload,
+		ExpectedRunTime:  s.index.Expected(key.Firm, key.Service, spec.DeclaredRunTime),
 	}
 }
 
--- a/internal/dispatch/gatekeeper/results.go
+++ b/internal/dispatch/gatekeeper/results.go
@@ -22,6 +22,9 @@
 		r.state = messenger.RecordFinished
 		r.outcome = e.Outcome
 		r.runTime = e.RunTime
+		if e.Outcome.State == messenger.TaskSucceeded {
+			s.pace.learn(e.RunTime, r.expected)
+		}
 		s.keepResult(r)
 		s.startQueued()
 		for _, to := range s.listeners(r) {
--- a/internal/dispatch/gatekeeper/starts.go
+++ b/internal/dispatch/gatekeeper/starts.go
@@ -137,6 +137,7 @@
 		repeatable: m.Repeatable,
 		priority:   m.Priority,
 		payload:    m.Payload,
+		expected:   m.ExpectedRunTime,
 		deadline:   s.now.Add(m.TimeLeft),
 	}
 	s.keep(r)
--- a/internal/dispatch/gatekeeper/state.go
+++ b/internal/dispatch/gatekeeper/state.go
@@ -60,6 +60,7 @@
 	expiring    []expiry
 	queue       []*record
 	running     int
+	pace        pace
 	results     []*record
 	resultBytes int
 
@@ -80,6 +81,7 @@
 	deadline   time.Time
 	outcome    messenger.TaskOutcome
 	runTime    time.Duration
+	expected   time.Duration
 	keepUntil  time.Time
 	// stoppedByFence is true of a tombstone of the present attempt that the fence
 	// of its owner left.
@@ -185,6 +187,8 @@
 		Slots:    s.endpoint.Slots,
 		Running:  s.running,
 		Queued:   len(s.queue),
+		Slowness: s.pace.slowness,
+		Runs:     s.pace.runs,
 		Draining: !s.lifeCycle.Is(stateServing),
 	}
 	if s.endpointLapsed() {
--- a/internal/dispatch/messenger/endpoint.go
+++ b/internal/dispatch/messenger/endpoint.go
@@ -4,10 +4,14 @@
 
 // EndpointLoad is an agent's view of its endpoint.
 type EndpointLoad struct {
-	Service  string   `json:"service,omitempty"`
-	Slots    int      `json:"slots"`
-	Running  int      `json:"running"`
-	Queued   int      `json:"queued,omitempty"`
+	Service string `json:"service,omitempty"`
+	Slots   int    `json:"slots"`
+	Running int    `json:"running"`
+	Queued  int    `json:"queued,omitempty"`
+	// Slowness is the mean logarithm of the run times at the endpoint over the
+	// expected ones, from Runs tasks of all entries.
+	Slowness float64  `json:"slowness,omitempty"`
+	Runs     int      `json:"runs,omitempty"`
 	Draining bool     `json:"draining,omitempty"`
 	Labels   []string `json:"labels,omitempty"`
 }
--- a/internal/dispatch/messenger/messages.go
+++ b/internal/dispatch/messenger/messages.go
@@ -64,6 +64,8 @@
 	Priority         Priority      `json:"priority"`
 	Repeatable       bool          `json:"repeatable,omitempty"`
 	Payload          []byte        `json:"payload,omitempty"`
+	// ExpectedRunTime is what the entry expects on an endpoint of mean speed.
+	ExpectedRunTime time.Duration `json:"expected_run_time,omitempty"`
 }
 
 // RefusalReason says why an agent did not start a task.
--- a/internal/dispatch/placer/placer.go
+++ b/internal/dispatch/placer/placer.go
@@ -134,6 +134,9 @@
 		return
 	}
 	m.others = max(0, load.Running+load.Queued-m.outstanding)
+	if load.Runs > 0 {
+		m.take(load.Slowness)
+	}
 	if load.Draining {
 		x.setBlocks(now, m, m.blocks|toldDraining)
 		return
--- a/internal/dispatch/placer/scenario_test.go
+++ b/internal/dispatch/placer/scenario_test.go
@@ -166,6 +166,21 @@
 	}
 }
 
+// Guards against an entry that ignores the speed that an agent has learnt from
+// the tasks of all entries.
+func TestToldSpeed(t *testing.T) {
+	x, now := fleet(2)
+	x.Told(now, "e0", messenger.EndpointLoad{Slowness: 1, Runs: 10})
+	x.Sent(now, "e0", anyTask)
+	x.Returned(now, "e0", Returned{Verdict: Succeeded, RunTime: time.Millisecond})
+	if got := x.members["e0"].slowness; got != 1 {
+		t.Errorf("slowness %.3f, want the told 1", got)
+	}
+	if c, ok := x.Choose(now, nil, Query{Firm: "f", Service: "s"}); !ok || c.Endpoint != "e1" {
+		t.Errorf("chose %q", c.Endpoint)
+	}
+}
+
 // Guards against speeds that do not recover from declared times wrong by up to
 // five times, whether or not the declared times carry information.
 func TestObservedSpeed(t *testing.T) {
--- a/internal/dispatch/placer/speed.go
+++ b/internal/dispatch/placer/speed.go
@@ -30,6 +30,9 @@
 type speed struct {
 	slowness float64
 	samples  int
+	// told is true once the agent has told the slowness. It has seen the tasks of
+	// all entries, so this entry's own observations no longer count.
+	told bool
 }
 
 // estimate is a moving average of run times in seconds, after division by the
@@ -70,6 +73,23 @@
 	return e
 }
 
+// take takes over the slowness that the agent tells.
+func (m *member) take(slowness float64) {
+	m.told = true
+	m.slowness = slowness
+	m.factor = math.Exp(slowness)
+}
+
+// Expected returns the typical run time of a task on an endpoint of mean speed,
+// and 0 for an unknown service.
+func (x *Index) Expected(firm, service string, declared time.Duration) time.Duration {
+	p := x.pools[poolKey{firm, service}]
+	if p == nil {
+		return 0
+	}
+	return time.Duration(math.Exp(p.expected(declared).log) * float64(time.Second))
+}
+
 func (p *pool) learn(m *member, run, declared time.Duration) {
 	if run <= 0 {
 		return
@@ -77,6 +97,9 @@
 	log := math.Log(run.Seconds())
 	surprise := log - p.expected(declared).log - m.slowness
 	p.observe(log-m.slowness, run.Seconds()/m.factor, declared)
+	if m.told {
+		return
+	}
 	m.samples++
 	gain := max(1/float64(m.samples+1), speedGain)
 	m.slowness += gain * min(max(surprise, -maxSurprise), maxSurprise)
