--- a/internal/dispatch/coordinator/dispatch.go
+++ b/internal/dispatch/coordinator/dispatch.go
@@ -58,24 +58,27 @@
 
 // enqueue makes a task wait for a slot, under its present attempt number.
 func (s *State) enqueue(t *task) {
-	spec := t.job.submission.Tasks[t.index]
 	if t.class == nil {
-		t.class = s.classOf(t.job, spec.Labels)
+		t.class = s.classOf(t.job, t.job.submission.Tasks[t.index].Labels)
 	}
 	t.phase = taskWaiting
 	if !t.class.ordered {
 		t.class.ordered = true
 		s.order = append(s.order, t.class)
 	}
-	t.class.queue.Push(s.now, limiter.Item{
+	t.class.queue.Push(s.now, s.item(t))
+}
+
+func (s *State) item(t *task) limiter.Item {
+	return limiter.Item{
 		Task:     t.key(),
 		Attempt:  t.attempt,
 		Team:     t.job.submission.Team,
 		Priority: t.job.submission.Priority,
 		Enqueued: t.job.admittedAt,
 		Arrival:  t.job.arrival,
-		Declared: spec.DeclaredRunTime,
-	})
+		Declared: t.job.submission.Tasks[t.index].DeclaredRunTime,
+	}
 }
 
 // mayDispatch is false while this entry has not proved that it was not replaced.
@@ -142,6 +145,7 @@
 		Declared: t.job.submission.Tasks[t.index].DeclaredRunTime,
 		Avoid:    avoid,
 		Waiting:  place,
+		Ahead:    s.ahead(c, s.item(t)),
 		Urgent:   t.job.submission.Priority == messenger.PriorityHigh,
 	})
 }
@@ -170,6 +174,8 @@
 }
 
 func (s *State) startMessage(t *task, attempt int, a *agent) messenger.Start {
+	key := t.job.submission.Key
+	spec := t.job.submission.Tasks[t.index]
 	return messenger.Start{
 		Task:             t.key(),
 		Attempt:          attempt,
@@ -179,7 +185,8 @@
 		TimeLeft:         t.job.deadlineAt.Sub(s.now),
 		Priority:         t.job.submission.Priority,
 		Repeatable:       t.job.submission.Repeatable,
-		Payload:          t.job.submission.Tasks[t.index].Payload,
+		Payload:          spec.Payload,
+		ExpectedRunTime:  s.index.Expected(key.Firm, key.Service, spec.DeclaredRunTime),
 	}
 }
 
--- a/internal/dispatch/coordinator/peers.go
+++ b/internal/dispatch/coordinator/peers.go
@@ -22,6 +22,8 @@
 	// storeAge is how long the store had not answered the peer when it sent its
 	// last status.
 	storeAge time.Duration
+	// waiting is what the peer has last said to wait there.
+	waiting waitingList
 }
 
 func (s *State) peerLinked(e PeerLinked) {
@@ -79,6 +81,7 @@
 	s.send(p.incarnation, messenger.PeerStatus{
 		Sequence: s.peerSeq, EchoSequence: p.sequence, SettingsVersion: s.version,
 		StoreAge: s.now.Sub(s.storeAt),
+		Waiting:  s.waiting(),
 	})
 }
 
@@ -93,6 +96,7 @@
 	if !s.listed(from) {
 		s.met[from] = true
 	}
+	p.waiting = m.Waiting
 	if m.EchoSequence > 0 && m.EchoSequence <= s.peerSeq && s.peerSeq-m.EchoSequence < peerTimes {
 		p.confirmedAt = s.peerSent[m.EchoSequence%peerTimes]
 		s.knows[from] = true
--- a/internal/dispatch/gatekeeper/results.go
+++ b/internal/dispatch/gatekeeper/results.go
@@ -22,6 +22,9 @@
 		r.state = messenger.RecordFinished
 		r.outcome = e.Outcome
 		r.runTime = e.RunTime
+		if e.Outcome.State == messenger.TaskSucceeded {
+			s.pace.learn(e.RunTime, r.expected)
+		}
 		s.keepResult(r)
 		s.startQueued()
 		for _, to := range s.listeners(r) {
@@ -33,7 +36,7 @@
 
 func (s *State) sendFinished(to messenger.Incarnation, r *record) {
 	s.send(to, messenger.Finished{
-		Task: r.task, Attempt: r.attempt, Outcome: r.outcome, RunTime: r.runTime, Load: s.shortLoad(),
+		Task: r.task, Attempt: r.attempt, Outcome: r.outcome, RunTime: r.runTime, Load: s.shortLoad(to),
 	})
 }
 
--- a/internal/dispatch/limiter/queue.go
+++ b/internal/dispatch/limiter/queue.go
@@ -10,8 +10,10 @@
 )
 
 // riseAfter is the wait after which a task rises by one priority. A task of low
-// priority thus competes with fresh tasks of high priority after 4 s.
-const riseAfter = 2 * time.Second
+// priority thus competes with fresh tasks of high priority after 20 s. It exceeds
+// the 7 s that normal tasks wait after a burst of 3 times the capacity for 2 s;
+// with 2 s, they passed the high tasks of the burst.
+const riseAfter = 10 * time.Second
 
 const levels = int(messenger.PriorityHigh) + 1
 
@@ -30,7 +32,8 @@
 
 // Queue holds the waiting tasks of one class: one firm, service and label set.
 // The order is priority with ageing, then weighted fair share among teams, then
-// arrival of the job, then task index. Teams at their running limit are passed over.
+// arrival of the job, then longest declared run time, then task index. Teams at
+// their running limit are passed over.
 type Queue struct {
 	firm    string
 	teams   *Teams
@@ -97,7 +100,7 @@
 	e.line.waiting++
 	e.line.account.waiting++
 	q.entries[item.Task] = e
-	q.insert(e, effective(now, item))
+	q.insert(e, Effective(now, item))
 }
 
 // Peek returns the task that is due, and false if none may start. Tasks that
@@ -161,8 +164,8 @@
 	e.line.waiting--
 }
 
-// effective returns the priority of a task after ageing.
-func effective(now time.Time, item Item) int {
+// Effective returns the priority of a task after ageing.
+func Effective(now time.Time, item Item) int {
 	risen := int(max(0, now.Sub(item.Enqueued)) / riseAfter)
 	return min(clamp(item.Priority)+risen, levels-1)
 }
@@ -206,10 +209,10 @@
 func (q *Queue) promote(now time.Time) {
 	for i := range levels - 1 {
 		due := &q.levels[i].promotions
-		for due.Len() > 0 && effective(now, (*due)[0].Item) > i {
+		for due.Len() > 0 && Effective(now, (*due)[0].Item) > i {
 			e := (*due)[0]
 			q.extract(e)
-			q.insert(e, effective(now, e.Item))
+			q.insert(e, Effective(now, e.Item))
 		}
 	}
 }
--- a/internal/dispatch/limiter/queue_test.go
+++ b/internal/dispatch/limiter/queue_test.go
@@ -27,10 +27,13 @@
 	return Item{Task: task(id), Team: team, Priority: p, Enqueued: epoch.Add(enqueued), Arrival: arrival}
 }
 
-// Guards against an order other than priority with ageing, team share, arrival, index.
+// Guards against an order other than priority with ageing, team share, arrival,
+// longest declared run time, index.
 func TestQueueOrder(t *testing.T) {
 	second := item("a", "t", normal, 0, 1)
 	second.Task.Index = 1
+	long := second
+	long.Declared = time.Second
 	for _, scenario := range []struct {
 		name  string
 		items []Item
@@ -40,12 +43,14 @@
 		{"priority before arrival", []Item{item("a", "t", low, 0, 1), item("b", "t", high, 0, 2)}, 0, "b0 a0 "},
 		{"arrival of the job", []Item{item("b", "t", normal, 0, 2), item("a", "t", normal, 0, 1)}, 0, "a0 b0 "},
 		{"task index", []Item{second, item("a", "t", normal, 0, 1)}, 0, "a0 a1 "},
-		{"rises after 2 s", []Item{item("a", "t", low, 0, 1), item("b", "t", normal, 2*time.Second, 2)},
-			2 * time.Second, "a0 b0 "},
-		{"low behind fresh high before 4 s", []Item{item("a", "t", low, 0, 1), item("b", "t", high, 3*time.Second, 2)},
-			4*time.Second - 1, "b0 a0 "},
-		{"low before fresh high after 4 s", []Item{item("a", "t", low, 0, 1), item("b", "t", high, 3*time.Second, 2)},
-			4 * time.Second, "a0 b0 "},
+		{"longest declared of a job", []Item{item("a", "t", normal, 0, 1), long}, 0, "a1 a0 "},
+		{"arrival before declared", []Item{long, item("b", "t", normal, 0, 0)}, 0, "b0 a1 "},
+		{"rises after 10 s", []Item{item("a", "t", low, 0, 1), item("b", "t", normal, 10*time.Second, 2)},
+			10 * time.Second, "a0 b0 "},
+		{"low behind fresh high before 20 s", []Item{item("a", "t", low, 0, 1), item("b", "t", high, 19*time.Second, 2)},
+			20*time.Second - 1, "b0 a0 "},
+		{"low before fresh high after 20 s", []Item{item("a", "t", low, 0, 1), item("b", "t", high, 19*time.Second, 2)},
+			20 * time.Second, "a0 b0 "},
 		{"teams alternate", []Item{item("a", "t", normal, 0, 1), item("b", "t", normal, 0, 2), item("c", "u", normal, 0, 3)},
 			0, "a0 c0 b0 "},
 	} {
@@ -148,7 +153,7 @@
 		if !ok {
 			t.Fatalf("empty after %d", popped)
 		}
-		a, b := effective(now, before), effective(now, got)
+		a, b := Effective(now, before), Effective(now, got)
 		if popped > 0 && (b > a || a == b && got.Arrival <= before.Arrival) {
 			t.Fatalf("%+v after %+v", got, before)
 		}
--- a/internal/dispatch/messenger/messages.go
+++ b/internal/dispatch/messenger/messages.go
@@ -64,6 +64,8 @@
 	Priority         Priority      `json:"priority"`
 	Repeatable       bool          `json:"repeatable,omitempty"`
 	Payload          []byte        `json:"payload,omitempty"`
+	// ExpectedRunTime is what the entry expects on an endpoint of mean speed.
+	ExpectedRunTime time.Duration `json:"expected_run_time,omitempty"`
 }
 
 // RefusalReason says why an agent did not start a task.
@@ -178,6 +180,20 @@
 	SettingsVersion uint64 `json:"settings_version"`
 	// StoreAge is how long the store has not answered the sender.
 	StoreAge time.Duration `json:"store_age"`
+	// Waiting lists the most urgent waiting job of each class of tasks.
+	Waiting []Waiting `json:"waiting,omitempty"`
+}
+
+// Waiting is the most urgent job that waits for slots at an entry, among the
+// tasks that need the same service and labels.
+type Waiting struct {
+	Firm    string   `json:"firm"`
+	Service string   `json:"service"`
+	Labels  []string `json:"labels,omitempty"`
+	// Priority includes ageing.
+	Priority Priority `json:"priority"`
+	// Tasks is how many tasks of the job wait.
+	Tasks int `json:"tasks"`
 }
 
 // Forward passes a submission to its owner, or asks the owner about it when
--- a/internal/proof/estimator/agent.go
+++ b/internal/proof/estimator/agent.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/burdockrudder/burdockrudder/internal/dispatch/gatekeeper"
@@ -79,16 +80,23 @@
 		}
 		start = m.(messenger.Start)
 	}
-	for _, effect := range a.handle(gatekeeper.Received{From: start.Owner, Message: start}) {
-		if refused, ok := effect.(gatekeeper.Send); ok {
-			return fmt.Errorf("start not accepted: %+v", refused.Message)
-		}
+	if !invokes(a.handle(gatekeeper.Received{From: start.Owner, Message: start})) {
+		return fmt.Errorf("start of %s not accepted", start.Task)
 	}
 	outcome := messenger.TaskOutcome{State: messenger.TaskSucceeded, Result: make([]byte, result)}
 	a.handle(gatekeeper.Invoked{Task: start.Task, Outcome: outcome, RunTime: 100 * time.Millisecond})
 	return nil
 }
 
+// invokes tells whether a start was passed on to the endpoint. Reports of the
+// changed load may go with it.
+func invokes(effects []gatekeeper.Effect) bool {
+	return slices.ContainsFunc(effects, func(effect gatekeeper.Effect) bool {
+		_, ok := effect.(gatekeeper.Invoke)
+		return ok
+	})
+}
+
 func taskKey(n int) messenger.TaskKey {
 	id := fmt.Sprintf("reprice-%020d", n/10)
 	return messenger.TaskKey{Submission: messenger.SubmissionKey{Firm: firmName, Service: serviceName, ID: id}, Index: n % 10}
