Let entries know each other one round trip after they start

An entry linked to the others only at its second renewal and was known to them after the next statuses. Entries link as soon as they have read the directory and answer the first status at once. The refusal also told the operator that a change may have been committed; it now says that nothing was changed (503 not_run), with the reason.

--- a/internal/daemon/launcher/entry_control.go
+++ b/internal/daemon/launcher/entry_control.go
@@ -101,8 +101,12 @@
 func (c *entryControl) handle(now time.Time, event coordinator.Event) []coordinator.Effect {
 	c.trace.record(now, event, c.logger)
 	effects := c.state.Handle(now, event)
-	if _, changed := event.(coordinator.SettingsRead); changed {
+	switch event.(type) {
+	case coordinator.SettingsRead:
 		c.publish(time.Time{})
+	case coordinator.LeaseRenewed:
+		c.publish(time.Time{})
+		c.updateTargets()
 	}
 	return effects
 }
@@ -120,7 +124,6 @@
 	case coordinator.CommitOutcome:
 		c.journal.CommitOutcome(e)
 	case coordinator.RenewLease:
-		c.updateTargets()
 		c.leaser.RenewLease(e)
 	case coordinator.FenceEntry:
 		c.leaser.FenceEntry(e)
--- a/internal/daemon/launcher/settings_store.go
+++ b/internal/daemon/launcher/settings_store.go
@@ -20,9 +20,6 @@
 	settingsSource = "request"
 )
 
-// errNotAccepting means that this entry cannot accept changes now.
-var errNotAccepting = errors.New("this entry accepts no changes now")
-
 // settingsStore keeps the settings in the table and puts changes in force here
 // before they are reported as accepted.
 type settingsStore struct {
@@ -44,10 +41,10 @@
 func (s *settingsStore) Change(ctx context.Context, change server.SettingsChange) (uint64, error) {
 	view := s.control.Snapshot()
 	if view == nil {
-		return 0, errNotAccepting
+		return 0, &server.NotAcceptingError{Reason: "this entry has only just started"}
 	}
 	if view.AcceptRefusal != "" {
-		return 0, fmt.Errorf("%w: %s", errNotAccepting, view.AcceptRefusal)
+		return 0, &server.NotAcceptingError{Reason: view.AcceptRefusal}
 	}
 	accepted, err := s.store.Change(ctx, versioner.Edit{
 		Expected: change.Expected,
--- a/internal/demo/runner/cluster.go
+++ b/internal/demo/runner/cluster.go
@@ -321,7 +321,7 @@
 		if view == nil || view.LifeCycle != "active" || len(view.Endpoints) < c.deployment.Endpoints {
 			return false
 		}
-		if len(view.Directory) < c.deployment.Entries {
+		if len(view.Directory) < c.deployment.Entries || view.AcceptRefusal != "" {
 			return false
 		}
 		for _, endpoint := range view.Endpoints {
--- a/internal/dispatch/coordinator/peers.go
+++ b/internal/dispatch/coordinator/peers.go
@@ -90,6 +90,7 @@
 	if p == nil {
 		return
 	}
+	first := p.sequence == 0
 	p.sequence = m.Sequence
 	p.version = m.SettingsVersion
 	p.storeAge = m.StoreAge
@@ -101,6 +102,12 @@
 		p.confirmedAt = s.peerSent[m.EchoSequence%peerTimes]
 		s.knows[from] = true
 	}
+	if first {
+		// Both know each other one round trip after the link, not only after the
+		// next statuses: an entry that dies before that would keep the others from
+		// accepting changes.
+		s.sendPeerStatus(p)
+	}
 }
 
 // forwardCall is a call to a peer that has not been answered.
--- a/internal/edge/server/interfaces.go
+++ b/internal/edge/server/interfaces.go
@@ -36,6 +36,17 @@
 	return fmt.Sprintf("settings are at version %d", e.Present)
 }
 
+// NotAcceptingError reports that the entry may not accept changes of the
+// settings now. Nothing was changed.
+type NotAcceptingError struct {
+	Reason string
+}
+
+// Error gives the reason.
+func (e *NotAcceptingError) Error() string {
+	return "nothing was changed: " + e.Reason
+}
+
 // SettingsHead is the version and tree in force.
 type SettingsHead struct {
 	Version uint64
@@ -68,7 +79,8 @@
 	Head(ctx context.Context) (SettingsHead, error)
 	// Change commits by compare-and-set and returns the new version once the
 	// entry has it in force. It returns a *ConflictError if Expected is not the
-	// present version. After any other error the change may have been committed.
+	// present version, and a *NotAcceptingError if this entry may not accept
+	// changes now. After any other error the change may have been committed.
 	Change(ctx context.Context, change SettingsChange) (uint64, error)
 	// History returns the youngest changes, at most limit, youngest first.
 	History(ctx context.Context, limit int) ([]SettingsRecord, error)
--- a/internal/edge/server/operators_test.go
+++ b/internal/edge/server/operators_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"strings"
 	"testing"
 
@@ -155,3 +156,14 @@
 		}
 	}
 }
+
+// Guards against a refusal that leaves the operator in doubt whether the change
+// was made: an entry that may not accept changes has changed nothing.
+func TestNotAcceptingSaysNothingWasChanged(t *testing.T) {
+	s := &Server{}
+	err := s.settingsError(&NotAcceptingError{Reason: "entry e2 has not answered"})
+	var got *translator.Error
+	if !errors.As(err, &got) || got.Code != translator.Code(messenger.CodeNotRun) || !strings.Contains(got.Reason, "nothing was changed") {
+		t.Errorf("got %v", err)
+	}
+}
--- a/internal/edge/server/settings.go
+++ b/internal/edge/server/settings.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"strings"
 
+	"github.com/burdockrudder/burdockrudder/internal/dispatch/messenger"
 	"github.com/burdockrudder/burdockrudder/internal/edge/translator"
 	"github.com/burdockrudder/burdockrudder/internal/settings/resolver"
 )
@@ -112,7 +113,10 @@
 // settingsError gives errors of the store their code.
 func (s *Server) settingsError(err error) error {
 	var conflict *ConflictError
+	var refused *NotAcceptingError
 	switch {
+	case errors.As(err, &refused):
+		return fail(translator.Code(messenger.CodeNotRun), refused.Error())
 	case errors.As(err, &conflict):
 		reason := fmt.Sprintf("the settings are at version %d; read them and apply the change again", conflict.Present)
 		return &translator.Error{Code: translator.CodeVersionConflict, Reason: reason, Version: conflict.Present}
