--- /dev/null
+++ b/internal/proof/replayer/recorded_test.go
@@ -0,0 +1,97 @@
+package replayer
+
+import (
+	"bytes"
+	"compress/gzip"
+	"encoding/json"
+	"io"
+	"os"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/burdockrudder/burdockrudder/internal/dispatch/messenger"
+)
+
+// Guards against decisions that change unnoticed: traces that the demo recorded
+// over real sockets must give the stated decisions byte for byte, and the stated
+// outcomes. scripts/record_traces.sh records them anew.
+func TestRecordedTraces(t *testing.T) {
+	tests := []struct {
+		name     string
+		complete int
+		failed   int
+	}{
+		{"lamis_calm", 5, 0},
+		{"lamis_mixed", 7, 3},
+		{"apfm_calm", 5, 0},
+		{"apfm_entry_crash", 10, 0},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			got := replay(t, unpack(t, test.name+".trace.gz"))
+			want := unpack(t, test.name+".expected.gz")
+			if err := Compare(bytes.NewReader(want), bytes.NewReader(got)); err != nil {
+				t.Fatal(err)
+			}
+			stated := map[messenger.OutcomeStatus]int{
+				messenger.OutcomeComplete: test.complete, messenger.OutcomeFailed: test.failed,
+			}
+			if diff := cmp.Diff(stated, outcomes(t, got)); diff != "" {
+				t.Errorf("outcomes told: %s", diff)
+			}
+		})
+	}
+}
+
+func unpack(t *testing.T, name string) []byte {
+	t.Helper()
+	file, err := os.Open("testdata/" + name)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer file.Close()
+	reader, err := gzip.NewReader(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	content, err := io.ReadAll(reader)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return content
+}
+
+// outcomes counts the submissions by the outcome that callers were told.
+func outcomes(t *testing.T, output []byte) map[messenger.OutcomeStatus]int {
+	t.Helper()
+	told := make(map[string]messenger.OutcomeStatus)
+	for line := range bytes.Lines(output) {
+		var o Output
+		if err := json.Unmarshal(line, &o); err != nil {
+			t.Fatal(err)
+		}
+		if o.Kind != "Reply" {
+			continue
+		}
+		var body struct {
+			Answer struct {
+				Kind string `json:"kind"`
+				Body struct {
+					Outcome messenger.Outcome `json:"outcome"`
+				} `json:"body"`
+			} `json:"answer"`
+		}
+		if err := json.Unmarshal(o.Body, &body); err != nil {
+			t.Fatal(err)
+		}
+		if body.Answer.Kind == "OutcomeAnswer" {
+			told[body.Answer.Body.Outcome.Key.String()] = body.Answer.Body.Outcome.Status
+		}
+	}
+	counts := map[messenger.OutcomeStatus]int{messenger.OutcomeComplete: 0, messenger.OutcomeFailed: 0}
+	for _, status := range told {
+		counts[status]++
+	}
+	return counts
+}
