Share the schedule of the virtual clock and drop a copy of slices.Equal

The driver and the meter each had the same heap of timed steps; both now use proof/scheduler. Admission compared labels with a function of its own.

--- a/internal/dispatch/coordinator/admit.go
+++ b/internal/dispatch/coordinator/admit.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/burdockrudder/burdockrudder/internal/dispatch/messenger"
@@ -110,7 +111,7 @@
 	key := submission.Key
 	var previous []string
 	for i, spec := range submission.Tasks {
-		if i > 0 && sameLabels(previous, spec.Labels) {
+		if i > 0 && slices.Equal(previous, spec.Labels) {
 			continue
 		}
 		previous = spec.Labels
@@ -127,18 +128,6 @@
 	return messenger.Refusal{}, false
 }
 
-func sameLabels(a, b []string) bool {
-	if len(a) != len(b) {
-		return false
-	}
-	for i := range a {
-		if a[i] != b[i] {
-			return false
-		}
-	}
-	return true
-}
-
 // refuseAfterRead refuses only after the rows were read: "not run" would be
 // untrue if an earlier attempt of the same id had run through another entry.
 func (s *State) refuseAfterRead(w waiter, submission messenger.Submission, code messenger.RefusalCode, reason string) {
--- a/internal/proof/driver/driver.go
+++ b/internal/proof/driver/driver.go
@@ -4,13 +4,13 @@
 package driver
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"time"
 
 	"github.com/burdockrudder/burdockrudder/internal/dispatch/coordinator"
 	"github.com/burdockrudder/burdockrudder/internal/dispatch/messenger"
+	"github.com/burdockrudder/burdockrudder/internal/proof/scheduler"
 	"github.com/burdockrudder/burdockrudder/internal/settings/resolver"
 )
 
@@ -67,8 +67,7 @@
 	random   *rand.Rand
 	now      time.Time
 	begin    time.Time
-	schedule timeline
-	sequence uint64
+	schedule scheduler.Schedule
 	entries  map[string]*entryNode
 	agents   map[string]*agentNode
 	lastCall coordinator.CallID
@@ -155,10 +154,9 @@
 // Run advances the run to the given time since its start.
 func (w *World) Run(until time.Duration) {
 	end := w.begin.Add(until)
-	for len(w.schedule) > 0 && !w.schedule[0].at.After(end) {
-		next := heap.Pop(&w.schedule).(scheduled)
-		w.now = next.at
-		next.do()
+	for next, ok := w.schedule.Next(end); ok; next, ok = w.schedule.Next(end) {
+		w.now = next.At
+		next.Do()
 	}
 	w.now = end
 }
@@ -175,8 +173,7 @@
 }
 
 func (w *World) push(at time.Time, do func()) {
-	w.sequence++
-	heap.Push(&w.schedule, scheduled{at: at, sequence: w.sequence, do: do})
+	w.schedule.Add(at, do)
 }
 
 // newIncarnation draws the next incarnation of a process.
@@ -184,32 +181,3 @@
 	w.restarts++
 	return messenger.Incarnation(fmt.Sprintf("%s~%d", name, w.restarts))
 }
-
-type scheduled struct {
-	at       time.Time
-	sequence uint64
-	do       func()
-}
-
-// timeline orders steps by time for container/heap.
-type timeline []scheduled
-
-func (t timeline) Len() int { return len(t) }
-func (t timeline) Less(i, j int) bool {
-	if t[i].at.Equal(t[j].at) {
-		return t[i].sequence < t[j].sequence
-	}
-	return t[i].at.Before(t[j].at)
-}
-func (t timeline) Swap(i, j int) { t[i], t[j] = t[j], t[i] }
-
-// Push adds a step; container/heap calls it.
-func (t *timeline) Push(x any) { *t = append(*t, x.(scheduled)) }
-
-// Pop removes the last step; container/heap calls it.
-func (t *timeline) Pop() any {
-	old := *t
-	last := old[len(old)-1]
-	*t = old[:len(old)-1]
-	return last
-}
--- a/internal/proof/meter/world.go
+++ b/internal/proof/meter/world.go
@@ -1,13 +1,13 @@
 package meter
 
 import (
-	"container/heap"
 	"fmt"
 	"time"
 
 	"github.com/burdockrudder/burdockrudder/internal/demo/scorer"
 	"github.com/burdockrudder/burdockrudder/internal/dispatch/coordinator"
 	"github.com/burdockrudder/burdockrudder/internal/dispatch/messenger"
+	"github.com/burdockrudder/burdockrudder/internal/proof/scheduler"
 	"github.com/burdockrudder/burdockrudder/internal/settings/resolver"
 )
 
@@ -29,8 +29,7 @@
 	jobs     []plannedJob
 	begin    time.Time
 	now      time.Time
-	schedule timeline
-	sequence uint64
+	schedule scheduler.Schedule
 
 	entries  []*entryNode
 	agents   []*agentNode
@@ -118,17 +117,15 @@
 // run handles everything that is due until the given time since the start.
 func (w *world) run(until time.Duration) {
 	end := w.begin.Add(until)
-	for len(w.schedule) > 0 && !w.schedule[0].at.After(end) {
-		next := heap.Pop(&w.schedule).(scheduled)
-		w.now = next.at
-		next.do()
+	for next, ok := w.schedule.Next(end); ok; next, ok = w.schedule.Next(end) {
+		w.now = next.At
+		next.Do()
 	}
 	w.now = end
 }
 
 func (w *world) after(delay time.Duration, do func()) {
-	w.sequence++
-	heap.Push(&w.schedule, scheduled{at: w.now.Add(delay), sequence: w.sequence, do: do})
+	w.schedule.Add(w.now.Add(delay), do)
 }
 
 // every repeats a step, the first time at once.
@@ -145,34 +142,3 @@
 		w.repeat(interval, do)
 	})
 }
-
-type scheduled struct {
-	at       time.Time
-	sequence uint64
-	do       func()
-}
-
-// timeline orders steps by time for container/heap. Steps at the same time keep
-// their order, so that links deliver in order.
-type timeline []scheduled
-
-func (t timeline) Len() int { return len(t) }
-func (t timeline) Less(i, j int) bool {
-	if t[i].at.Equal(t[j].at) {
-		return t[i].sequence < t[j].sequence
-	}
-	return t[i].at.Before(t[j].at)
-}
-func (t timeline) Swap(i, j int) { t[i], t[j] = t[j], t[i] }
-
-// Push adds a step; container/heap calls it.
-func (t *timeline) Push(x any) { *t = append(*t, x.(scheduled)) }
-
-// Pop removes the last step; container/heap calls it.
-func (t *timeline) Pop() any {
-	old := *t
-	last := old[len(old)-1]
-	old[len(old)-1] = scheduled{}
-	*t = old[:len(old)-1]
-	return last
-}
