Rename internal/platform to internal/storage and repeat a lost departure

TestEndpointAnnouncesAndDeparts could hang, because Endpoint.stop threw the error of the departure away: one failed request, and the agent was never told. The departure is now tried three times, its error is returned, and the test fails with a reason. Ruled out: a longer timeout, which would only make the loss rarer.

--- a/internal/command/starter/starter.go
+++ b/internal/command/starter/starter.go
@@ -18,8 +18,8 @@
 	"github.com/burdockrudder/burdockrudder/internal/daemon/launcher"
 	"github.com/burdockrudder/burdockrudder/internal/dispatch/messenger"
 	"github.com/burdockrudder/burdockrudder/internal/edge/invoker"
-	"github.com/burdockrudder/burdockrudder/internal/platform/storer"
 	"github.com/burdockrudder/burdockrudder/internal/settings/parser"
+	"github.com/burdockrudder/burdockrudder/internal/storage/storer"
 	"github.com/burdockrudder/burdockrudder/internal/transport/authenticator"
 	"github.com/burdockrudder/burdockrudder/internal/transport/linker"
 )
--- a/internal/daemon/launcher/config.go
+++ b/internal/daemon/launcher/config.go
@@ -7,8 +7,8 @@
 	"strings"
 	"time"
 
-	"github.com/burdockrudder/burdockrudder/internal/platform/journaler"
 	"github.com/burdockrudder/burdockrudder/internal/settings/resolver"
+	"github.com/burdockrudder/burdockrudder/internal/storage/journaler"
 	"github.com/burdockrudder/burdockrudder/internal/transport/authenticator"
 )
 
--- a/internal/daemon/launcher/entry.go
+++ b/internal/daemon/launcher/entry.go
@@ -16,10 +16,10 @@
 	"github.com/burdockrudder/burdockrudder/internal/dispatch/messenger"
 	"github.com/burdockrudder/burdockrudder/internal/edge/server"
 	"github.com/burdockrudder/burdockrudder/internal/kernel/registrar"
-	"github.com/burdockrudder/burdockrudder/internal/platform/journaler"
-	"github.com/burdockrudder/burdockrudder/internal/platform/leaser"
-	"github.com/burdockrudder/burdockrudder/internal/platform/storer"
 	"github.com/burdockrudder/burdockrudder/internal/settings/versioner"
+	"github.com/burdockrudder/burdockrudder/internal/storage/journaler"
+	"github.com/burdockrudder/burdockrudder/internal/storage/leaser"
+	"github.com/burdockrudder/burdockrudder/internal/storage/storer"
 )
 
 // entryStopPatience bounds each service's part of a graceful stop.
--- a/internal/demo/runner/cluster.go
+++ b/internal/demo/runner/cluster.go
@@ -16,11 +16,11 @@
 	"github.com/burdockrudder/burdockrudder/internal/daemon/launcher"
 	"github.com/burdockrudder/burdockrudder/internal/dispatch/messenger"
 	"github.com/burdockrudder/burdockrudder/internal/edge/invoker"
-	"github.com/burdockrudder/burdockrudder/internal/platform/storer"
 	"github.com/burdockrudder/burdockrudder/internal/settings/resolver"
 	"github.com/burdockrudder/burdockrudder/internal/settings/versioner"
 	"github.com/burdockrudder/burdockrudder/internal/standin/executor"
 	"github.com/burdockrudder/burdockrudder/internal/standin/tablekeeper"
+	"github.com/burdockrudder/burdockrudder/internal/storage/storer"
 	"github.com/burdockrudder/burdockrudder/internal/transport/authenticator"
 	"github.com/burdockrudder/burdockrudder/internal/transport/linker"
 )
--- a/internal/demo/runner/isolation.go
+++ b/internal/demo/runner/isolation.go
@@ -8,7 +8,7 @@
 
 	"github.com/burdockrudder/burdockrudder/internal/daemon/launcher"
 	"github.com/burdockrudder/burdockrudder/internal/dispatch/messenger"
-	"github.com/burdockrudder/burdockrudder/internal/platform/storer"
+	"github.com/burdockrudder/burdockrudder/internal/storage/storer"
 )
 
 // isolation cuts a daemon off from everything at once. In one process this is
--- a/internal/settings/versioner/rows.go
+++ b/internal/settings/versioner/rows.go
@@ -7,7 +7,7 @@
 	"fmt"
 	"slices"
 
-	"github.com/burdockrudder/burdockrudder/internal/platform/storer"
+	"github.com/burdockrudder/burdockrudder/internal/storage/storer"
 )
 
 // keyOf pads the version, so that the order of the keys is that of the versions.
--- a/internal/settings/versioner/table_test.go
+++ b/internal/settings/versioner/table_test.go
@@ -5,7 +5,7 @@
 	"fmt"
 	"sync"
 
-	"github.com/burdockrudder/burdockrudder/internal/platform/storer"
+	"github.com/burdockrudder/burdockrudder/internal/storage/storer"
 )
 
 // fakeTable is a table in memory. Its faults are set per call.
--- a/internal/settings/versioner/versioner.go
+++ b/internal/settings/versioner/versioner.go
@@ -11,8 +11,8 @@
 	"fmt"
 	"time"
 
-	"github.com/burdockrudder/burdockrudder/internal/platform/storer"
 	"github.com/burdockrudder/burdockrudder/internal/settings/resolver"
+	"github.com/burdockrudder/burdockrudder/internal/storage/storer"
 )
 
 const (
--- a/internal/settings/versioner/versioner_test.go
+++ b/internal/settings/versioner/versioner_test.go
@@ -9,8 +9,8 @@
 	"github.com/google/go-cmp/cmp"
 
 	"github.com/burdockrudder/burdockrudder/internal/dispatch/messenger"
-	"github.com/burdockrudder/burdockrudder/internal/platform/storer"
 	"github.com/burdockrudder/burdockrudder/internal/settings/resolver"
+	"github.com/burdockrudder/burdockrudder/internal/storage/storer"
 )
 
 var sousse = Domain{Firm: "lamis", Place: "sahel", FailureDomain: "sousse"}
--- a/internal/settings/versioner/watcher_test.go
+++ b/internal/settings/versioner/watcher_test.go
@@ -9,8 +9,8 @@
 	"github.com/google/go-cmp/cmp"
 	"golang.org/x/sync/errgroup"
 
-	"github.com/burdockrudder/burdockrudder/internal/platform/storer"
 	"github.com/burdockrudder/burdockrudder/internal/settings/resolver"
+	"github.com/burdockrudder/burdockrudder/internal/storage/storer"
 )
 
 type reading struct {
--- a/internal/standin/executor/endpoint_test.go
+++ b/internal/standin/executor/endpoint_test.go
@@ -68,8 +68,30 @@
 		t.Errorf("announced %d slots", slots)
 	}
 	cancel()
-	<-departed
 	if err := group.Wait(); err != nil {
-		t.Error(err)
+		t.Fatal(err)
+	}
+	select {
+	case <-departed:
+	default:
+		t.Error("the endpoint has stopped and its agent was never told")
+	}
+}
+
+// Guards against a departure that is lost because one request of it failed.
+func TestDepartureIsRepeated(t *testing.T) {
+	requests, departed := 0, false
+	agent := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		requests++
+		if requests == 1 {
+			panic(http.ErrAbortHandler)
+		}
+		departed = r.Method == http.MethodDelete
+	}))
+	defer agent.Close()
+	defer http.DefaultClient.CloseIdleConnections()
+	endpoint := &Endpoint{Service: "dispatch", Slots: 8, Agent: agent.URL}
+	if err := endpoint.depart(t.Context()); err != nil || !departed {
+		t.Errorf("departed %v after %d requests: %v", departed, requests, err)
 	}
 }
--- a/internal/standin/executor/serve.go
+++ b/internal/standin/executor/serve.go
@@ -18,6 +18,10 @@
 const (
 	announceEvery   = time.Second
 	announceTimeout = time.Second
+	// departTries and departPause spread the tries of a departure over about the
+	// time after which an announcement lapses by itself.
+	departTries = 3
+	departPause = 100 * time.Millisecond
 	// headerTimeout is long, because a connection that is closed while a task is
 	// being sent leaves the task in doubt: on a busy machine 1 s was too short.
 	headerTimeout = 30 * time.Second
@@ -44,8 +48,7 @@
 }
 
 func (e *Endpoint) stop(ctx context.Context, server *http.Server) error {
-	// A departure that does not arrive shows as missing announcements.
-	_ = e.tell(ctx, http.MethodDelete)
+	departed := e.depart(ctx)
 	e.mu.Lock()
 	e.draining = true
 	e.mu.Unlock()
@@ -55,7 +58,21 @@
 	if err := server.Shutdown(ctx); err != nil {
 		return fmt.Errorf("stop endpoint: %w", err)
 	}
-	return nil
+	return departed
+}
+
+// depart tells the agent until it answers. An announcement that was cut off by
+// the stop may have left its connection unusable, and an agent that never hears
+// of the departure sends tasks until the announcement lapses.
+func (e *Endpoint) depart(ctx context.Context) error {
+	var err error
+	for range departTries {
+		if err = e.tell(ctx, http.MethodDelete); err == nil {
+			return nil
+		}
+		time.Sleep(departPause)
+	}
+	return fmt.Errorf("depart after %d tries: %w", departTries, err)
 }
 
 // track closes the connections over the limit.
--- a/internal/standin/tablekeeper/handler.go
+++ b/internal/standin/tablekeeper/handler.go
@@ -5,7 +5,7 @@
 	"errors"
 	"net/http"
 
-	"github.com/burdockrudder/burdockrudder/internal/platform/storer"
+	"github.com/burdockrudder/burdockrudder/internal/storage/storer"
 )
 
 // PathFaults switches the faults with a PUT of Faults.
--- a/internal/standin/tablekeeper/keeper.go
+++ b/internal/standin/tablekeeper/keeper.go
@@ -13,7 +13,7 @@
 
 	"golang.org/x/time/rate"
 
-	"github.com/burdockrudder/burdockrudder/internal/platform/storer"
+	"github.com/burdockrudder/burdockrudder/internal/storage/storer"
 )
 
 // Faults are switched at run time.
--- a/internal/standin/tablekeeper/keeper_test.go
+++ b/internal/standin/tablekeeper/keeper_test.go
@@ -3,7 +3,7 @@
 import (
 	"testing"
 
-	"github.com/burdockrudder/burdockrudder/internal/platform/storer"
+	"github.com/burdockrudder/burdockrudder/internal/storage/storer"
 )
 
 // Guards against a stand-in that applies a write whose condition does not hold,
--- a/internal/platform/journaler/bench_test.go
+++ b/internal/storage/journaler/bench_test.go
@@ -13,8 +13,8 @@
 
 	"github.com/burdockrudder/burdockrudder/internal/dispatch/coordinator"
 	"github.com/burdockrudder/burdockrudder/internal/dispatch/messenger"
-	"github.com/burdockrudder/burdockrudder/internal/platform/storer"
 	"github.com/burdockrudder/burdockrudder/internal/standin/tablekeeper"
+	"github.com/burdockrudder/burdockrudder/internal/storage/storer"
 )
 
 // The offered load and the budget of the admission target.
--- a/internal/platform/journaler/journal.go
+++ b/internal/storage/journaler/journal.go
@@ -20,7 +20,7 @@
 
 	"github.com/burdockrudder/burdockrudder/internal/dispatch/coordinator"
 	"github.com/burdockrudder/burdockrudder/internal/dispatch/messenger"
-	"github.com/burdockrudder/burdockrudder/internal/platform/storer"
+	"github.com/burdockrudder/burdockrudder/internal/storage/storer"
 )
 
 // The defaults of a Journal.
--- a/internal/platform/journaler/outage.go
+++ b/internal/storage/journaler/outage.go
@@ -4,7 +4,7 @@
 	"errors"
 	"time"
 
-	"github.com/burdockrudder/burdockrudder/internal/platform/storer"
+	"github.com/burdockrudder/burdockrudder/internal/storage/storer"
 )
 
 const (
--- a/internal/platform/journaler/outage_test.go
+++ b/internal/storage/journaler/outage_test.go
@@ -7,8 +7,8 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/burdockrudder/burdockrudder/internal/platform/storer"
 	"github.com/burdockrudder/burdockrudder/internal/standin/tablekeeper"
+	"github.com/burdockrudder/burdockrudder/internal/storage/storer"
 )
 
 // countedTable counts the write calls, also those that fail.
--- a/internal/platform/journaler/sweep.go
+++ b/internal/storage/journaler/sweep.go
@@ -6,7 +6,7 @@
 
 	"github.com/burdockrudder/burdockrudder/internal/dispatch/coordinator"
 	"github.com/burdockrudder/burdockrudder/internal/dispatch/messenger"
-	"github.com/burdockrudder/burdockrudder/internal/platform/storer"
+	"github.com/burdockrudder/burdockrudder/internal/storage/storer"
 )
 
 const (
--- a/internal/platform/journaler/writer.go
+++ b/internal/storage/journaler/writer.go
@@ -8,7 +8,7 @@
 
 	"github.com/burdockrudder/burdockrudder/internal/dispatch/coordinator"
 	"github.com/burdockrudder/burdockrudder/internal/dispatch/messenger"
-	"github.com/burdockrudder/burdockrudder/internal/platform/storer"
+	"github.com/burdockrudder/burdockrudder/internal/storage/storer"
 )
 
 // The bounds of the backoff between the tries of one row. Intents retry sooner,
--- a/internal/platform/leaser/directory.go
+++ b/internal/storage/leaser/directory.go
@@ -7,7 +7,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/burdockrudder/burdockrudder/internal/dispatch/coordinator"
-	"github.com/burdockrudder/burdockrudder/internal/platform/storer"
+	"github.com/burdockrudder/burdockrudder/internal/storage/storer"
 )
 
 const (
--- a/internal/platform/leaser/leaser.go
+++ b/internal/storage/leaser/leaser.go
@@ -15,7 +15,7 @@
 
 	"github.com/burdockrudder/burdockrudder/internal/dispatch/coordinator"
 	"github.com/burdockrudder/burdockrudder/internal/dispatch/messenger"
-	"github.com/burdockrudder/burdockrudder/internal/platform/storer"
+	"github.com/burdockrudder/burdockrudder/internal/storage/storer"
 )
 
 // Prefix starts the keys of entry rows.
--- a/internal/platform/storer/client_test.go
+++ b/internal/storage/storer/client_test.go
@@ -11,8 +11,8 @@
 
 	"github.com/google/go-cmp/cmp"
 
-	"github.com/burdockrudder/burdockrudder/internal/platform/storer"
 	"github.com/burdockrudder/burdockrudder/internal/standin/tablekeeper"
+	"github.com/burdockrudder/burdockrudder/internal/storage/storer"
 )
 
 func newClient(t *testing.T, handler http.Handler) *storer.Client {
