--- /dev/null
+++ b/cmd/burdockrudder-platform/main.go
@@ -0,0 +1,24 @@
+// Command burdockrudder-platform runs burdockrudder's daemons on the users'
+// platform. See its help for the roles.
+package main
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/burdockrudder/burdockrudder/internal/command/builder"
+	"github.com/burdockrudder/burdockrudder/internal/command/hoster"
+)
+
+func main() {
+	os.Exit(run())
+}
+
+// run ends the context at the first SIGINT or SIGTERM.
+func run() int {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	return builder.Run(ctx, hoster.Root(), os.Stderr)
+}
--- a/internal/command/builder/exit.go
+++ b/internal/command/builder/exit.go
@@ -61,7 +61,7 @@
 	switch code {
 	case translator.CodeBadRequest, translator.CodeTooLarge, translator.CodeVersionRequired:
 		return ExitUsage
-	case translator.CodeNotRun, translator.CodeNeverRunnable, translator.CodeQuota:
+	case translator.CodeNotRun, translator.CodeNeverRunnable, translator.CodeQuota, translator.CodeOverloaded:
 		return ExitRefused
 	case translator.CodeIDConflict, translator.CodeVersionConflict:
 		return ExitConflict
--- a/internal/command/starter/demo.go
+++ b/internal/command/starter/demo.go
@@ -3,10 +3,12 @@
 import (
 	"errors"
 	"fmt"
+	"os"
 	"strings"
 
 	"github.com/spf13/cobra"
 	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
 
 	"github.com/burdockrudder/burdockrudder/internal/daemon/launcher"
 	"github.com/burdockrudder/burdockrudder/internal/demo/runner"
@@ -92,7 +94,7 @@
 	if err != nil {
 		return err
 	}
-	logger, err := launcher.NewLogger(launcher.LogConfig{Level: flags.logLevel, Format: "console"})
+	logger, err := launcher.NewLogger(launcher.LogConfig{Level: flags.logLevel, Format: "console"}, zapcore.Lock(os.Stderr))
 	if err != nil {
 		return err
 	}
--- a/internal/command/starter/starter.go
+++ b/internal/command/starter/starter.go
@@ -4,7 +4,6 @@
 import (
 	"context"
 	"crypto/tls"
-	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
@@ -13,7 +12,6 @@
 
 	"github.com/spf13/cobra"
 	"go.uber.org/zap"
-	"golang.org/x/sync/errgroup"
 
 	"github.com/burdockrudder/burdockrudder/internal/daemon/launcher"
 	"github.com/burdockrudder/burdockrudder/internal/dispatch/messenger"
@@ -30,9 +28,6 @@
 // dialTimeout bounds connecting to the endpoint, which is on the same host.
 const dialTimeout = time.Second
 
-// metricsPatience bounds the stop of the metrics server.
-const metricsPatience = time.Second
-
 // Commands returns the commands beside the operators' ones.
 func Commands() []*cobra.Command {
 	return []*cobra.Command{entryCommand(), agentCommand(), replayCommand(), certificatesCommand(), demoCommand(), responseCommand()}
@@ -88,10 +83,12 @@
 	tls         *tls.Config
 	incarnation messenger.Incarnation
 	metrics     *launcher.Metrics
+	sink        *launcher.LogSink
 }
 
 func newProcess(role messenger.Role, name string, log launcher.LogConfig, files authenticator.Files) (*process, error) {
-	logger, err := launcher.NewLogger(log)
+	sink := &launcher.LogSink{Output: os.Stdout}
+	logger, err := launcher.NewLogger(log, sink)
 	if err != nil {
 		return nil, err
 	}
@@ -105,6 +102,7 @@
 	}
 	return &process{
 		logger: logger, tls: tlsConfig, incarnation: incarnation, metrics: launcher.NewMetrics(string(role), name),
+		sink: sink,
 	}, nil
 }
 
@@ -141,7 +139,7 @@
 		Scope:     p.metrics.Scope,
 		Metrics:   p.metrics.Handler,
 	}
-	return withMetrics(ctx, config.MetricsListen, p.metrics.Handler, entry.Run)
+	return p.run(ctx, config.MetricsListen, entry.Run)
 }
 
 // loadHTTPTLS returns nil if callers and operators are served without TLS.
@@ -173,36 +171,12 @@
 		Scope:       p.metrics.Scope,
 	}
 	agent.Transport = p.transport(agent.Hello(), "")
-	return withMetrics(ctx, config.MetricsListen, p.metrics.Handler, agent.Run)
+	return p.run(ctx, config.MetricsListen, agent.Run)
 }
 
-// withMetrics runs a daemon beside a server for /metrics, if there is an address.
-func withMetrics(ctx context.Context, address string, handler http.Handler, daemon func(context.Context) error) error {
-	if address == "" {
-		return daemon(ctx)
-	}
-	mux := http.NewServeMux()
-	mux.Handle("GET /metrics", handler)
-	metrics := &http.Server{Addr: address, Handler: mux, ReadHeaderTimeout: metricsPatience}
-	var group errgroup.Group
-	group.Go(func() error {
-		if err := metrics.ListenAndServe(); !errors.Is(err, http.ErrServerClosed) {
-			zap.L().Error("metrics server", zap.Error(err))
-			return fmt.Errorf("serve metrics: %w", err)
-		}
-		return nil
-	})
-	group.Go(func() error {
-		defer closeServer(metrics)
-		return daemon(ctx)
+// run runs a daemon beside its metrics and its log.
+func (p *process) run(ctx context.Context, metricsAddress string, daemon func(context.Context) error) error {
+	return launcher.WithLog(ctx, p.sink, func(ctx context.Context) error {
+		return launcher.WithMetrics(ctx, metricsAddress, p.metrics.Handler, daemon)
 	})
-	return group.Wait()
-}
-
-func closeServer(s *http.Server) {
-	ctx, cancel := context.WithTimeout(context.Background(), metricsPatience)
-	defer cancel()
-	if err := s.Shutdown(ctx); err != nil {
-		_ = s.Close()
-	}
 }
--- a/internal/daemon/launcher/agent.go
+++ b/internal/daemon/launcher/agent.go
@@ -13,6 +13,7 @@
 	"github.com/burdockrudder/burdockrudder/internal/dispatch/messenger"
 	"github.com/burdockrudder/burdockrudder/internal/edge/invoker"
 	"github.com/burdockrudder/burdockrudder/internal/kernel/registrar"
+	"github.com/burdockrudder/burdockrudder/internal/storage/storer"
 )
 
 // agentTick is the time between an agent's ticks. Nothing at an agent depends on
@@ -26,6 +27,15 @@
 	Incarnation messenger.Incarnation
 	// Endpoint runs the tasks.
 	Endpoint invoker.Endpoint
+	// Leased, if set, runs the tasks in place of Endpoint, under a lease.
+	Leased *LeasedEndpoint
+	// Announcements, if set, serves the endpoint's announcements in place of
+	// Config.AnnounceListen.
+	Announcements func(sink AnnouncementSink) registrar.Service
+	// Table, if set, is where the entries are looked up that no link has named yet.
+	Table storer.Table
+	// Timing, if set, changes the timing of the decisions.
+	Timing func(*gatekeeper.State)
 	// Transport builds the transport that delivers to the handler.
 	Transport func(handler Handler) Transport
 	// AnnounceListener replaces Config.AnnounceListen.
@@ -57,16 +67,25 @@
 		bootstrap: a.bootstrap(),
 		state:     &gatekeeper.State{Name: a.Config.Name, Incarnation: a.Incarnation},
 	}
+	if a.Timing != nil {
+		a.Timing(control.state)
+	}
 	control.prepare(time.Duration(a.Config.DrainPatience))
-	parts := []struct {
-		name string
-		part any
-	}{
+	if a.Leased != nil {
+		control.supervise(a.Leased)
+	}
+	parts := []part{
 		{serviceTransport, a.Transport(control)},
 		{serviceInvoker, newInvocations(a.Endpoint, control)},
-		{serviceHTTP, &announceServer{address: a.Config.AnnounceListen, listener: a.AnnounceListener, control: control}},
+		{serviceHTTP, a.announcements(control)},
 		{serviceControl, control},
 	}
+	if control.endpoint != nil {
+		parts = append(parts[:1], append([]part{{serviceEndpoint, control.endpoint.caller}}, parts[1:]...)...)
+	}
+	if a.Table != nil {
+		parts = append(parts, part{serviceDirectory, &directoryReader{table: a.Table, control: control, logger: a.Logger}})
+	}
 	for _, p := range parts {
 		if err := kernel.Register(p.name, p.part); err != nil {
 			return fmt.Errorf("assemble agent %s: %w", a.Config.Name, err)
@@ -77,6 +96,19 @@
 	return kernel.Run(ctx)
 }
 
+// part is a service or a helper under its name.
+type part struct {
+	name string
+	part any
+}
+
+func (a *Agent) announcements(control *agentControl) any {
+	if a.Announcements != nil {
+		return a.Announcements(control)
+	}
+	return &announceServer{address: a.Config.AnnounceListen, listener: a.AnnounceListener, control: control}
+}
+
 // bootstrap lists the entries to link to before a directory is known.
 func (a *Agent) bootstrap() []messenger.EntryAddress {
 	targets := make([]messenger.EntryAddress, 0, len(a.Config.Entries))
--- a/internal/daemon/launcher/agent_control.go
+++ b/internal/daemon/launcher/agent_control.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/uber-go/tally/v4"
@@ -10,6 +11,7 @@
 
 	"github.com/burdockrudder/burdockrudder/internal/dispatch/gatekeeper"
 	"github.com/burdockrudder/burdockrudder/internal/dispatch/messenger"
+	"github.com/burdockrudder/burdockrudder/internal/edge/supervisor"
 	"github.com/burdockrudder/burdockrudder/internal/kernel/registrar"
 )
 
@@ -23,21 +25,26 @@
 	scope     tally.Scope
 	clock     clock
 	bootstrap []messenger.EntryAddress
+	// entries are the entries to link to, once linking is allowed.
+	entries []messenger.EntryAddress
+	linked  atomic.Int64
 
-	state       *gatekeeper.State
-	loop        *loop[gatekeeper.Event, gatekeeper.Effect]
+	state *gatekeeper.State
+	loop  *loop[agentEvent, agentEffect]
+	// endpoint is set if the tasks run under a lease.
+	endpoint    *endpointControl
 	transport   Transport
 	invocations *invocations
 }
 
 func (c *agentControl) prepare(drainPatience time.Duration) {
-	c.loop = newLoop[gatekeeper.Event, gatekeeper.Effect]()
-	c.loop.tick = gatekeeper.Tick{}
+	c.loop = newLoop[agentEvent, agentEffect]()
+	c.loop.tick = agentEvent{gate: gatekeeper.Tick{}}
 	c.loop.every = agentTick
-	c.loop.drain = gatekeeper.DrainRequested{}
+	c.loop.drain = agentEvent{gate: gatekeeper.DrainRequested{}}
 	c.loop.drainPatience = drainPatience
 	c.loop.now = c.clock.now
-	c.loop.handle = c.state.Handle
+	c.loop.handle = c.handle
 	c.loop.carryOut = c.carryOut
 	c.loop.after = func(time.Time) {}
 }
@@ -51,20 +58,73 @@
 	if c.invocations, err = registrar.Lookup[*invocations](c.kernel, serviceInvoker); err != nil {
 		return err
 	}
-	c.transport.SetTargets(c.bootstrap)
+	c.entries = c.bootstrap
+	c.link()
 	err = c.loop.run(ctx)
 	time.Sleep(flushDelay)
 	return err
 }
 
-func (c *agentControl) carryOut(effect gatekeeper.Effect) bool {
+// agentEvent is an event of the gate or of the supervised endpoint, or news from
+// outside that concern both.
+type agentEvent struct {
+	gate     gatekeeper.Event
+	endpoint supervisor.Event
+	// announced is an announcement; taken is closed when it is acted on.
+	announced *Announcement
+	taken     chan struct{}
+	// entries are entries that the table lists.
+	entries []messenger.EntryAddress
+}
+
+// agentEffect is an effect of either.
+type agentEffect struct {
+	gate     gatekeeper.Effect
+	endpoint supervisor.Effect
+}
+
+func (c *agentControl) post(event gatekeeper.Event) bool {
+	return c.loop.post(agentEvent{gate: event})
+}
+
+func (c *agentControl) handle(now time.Time, event agentEvent) []agentEffect {
+	switch {
+	case event.announced != nil:
+		defer close(event.taken)
+		return c.takeAnnouncement(now, *event.announced)
+	case event.entries != nil:
+		c.entries = event.entries
+		c.link()
+		return nil
+	case event.endpoint != nil:
+		return endpointEffects(c.endpoint.state.Handle(time.Now(), event.endpoint))
+	}
+	effects := gateEffects(c.state.Handle(now, event.gate))
+	if _, tick := event.gate.(gatekeeper.Tick); tick && c.endpoint != nil {
+		effects = append(effects, endpointEffects(c.endpoint.state.Handle(time.Now(), supervisor.Tick{}))...)
+		c.linkLate()
+	}
+	return effects
+}
+
+func (c *agentControl) carryOut(effect agentEffect) bool {
+	if effect.endpoint != nil {
+		return c.carryOutEndpoint(effect.endpoint)
+	}
+	return c.carryOutGate(effect.gate)
+}
+
+func (c *agentControl) carryOutGate(effect gatekeeper.Effect) bool {
 	switch e := effect.(type) {
 	case gatekeeper.Send:
 		c.transport.Send(e.To, e.Message)
 	case gatekeeper.Invoke:
-		c.invocations.start(e)
+		return c.invoke(e)
+	case gatekeeper.Abort:
+		return c.abort(e)
 	case gatekeeper.DirectoryChanged:
-		c.transport.SetTargets(c.targets(e.Directory))
+		c.entries = c.targets(e.Directory)
+		c.link()
 	case gatekeeper.Decision:
 		c.logDecision(e)
 	case gatekeeper.Drained:
@@ -104,15 +164,17 @@
 
 // Linked takes a new link from the transport.
 func (c *agentControl) Linked(peer messenger.Hello) {
-	c.loop.post(gatekeeper.EntryLinked{Entry: peer.Incarnation})
+	c.linked.Add(1)
+	c.post(gatekeeper.EntryLinked{Entry: peer.Incarnation})
 }
 
 // Unlinked takes the end of a link.
 func (c *agentControl) Unlinked(peer messenger.Incarnation) {
-	c.loop.post(gatekeeper.EntryUnlinked{Entry: peer})
+	c.linked.Add(-1)
+	c.post(gatekeeper.EntryUnlinked{Entry: peer})
 }
 
 // Received takes a message from the transport.
 func (c *agentControl) Received(from messenger.Incarnation, m messenger.Message) {
-	c.loop.post(gatekeeper.Received{From: from, Message: m})
+	c.post(gatekeeper.Received{From: from, Message: m})
 }
--- a/internal/daemon/launcher/announce_server.go
+++ b/internal/daemon/launcher/announce_server.go
@@ -28,9 +28,9 @@
 func (s *announceServer) Run(ctx context.Context) error {
 	announcer := &invoker.Announcer{
 		Announced: func(service string, slots int, labels []string) {
-			s.control.loop.post(gatekeeper.EndpointAnnounced{Service: service, Slots: slots, Labels: labels})
+			s.control.post(gatekeeper.EndpointAnnounced{Service: service, Slots: slots, Labels: labels})
 		},
-		Departing: func() { s.control.loop.post(gatekeeper.EndpointDeparting{}) },
+		Departing: func() { s.control.post(gatekeeper.EndpointDeparting{}) },
 	}
 	server := &http.Server{Handler: announcer.Handler(), ReadHeaderTimeout: announceTimeout, ReadTimeout: announceTimeout}
 	listener, err := s.listen()
--- /dev/null
+++ b/internal/daemon/launcher/beside.go
@@ -0,0 +1,55 @@
+package launcher
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+)
+
+// metricsPatience bounds reading a request for metrics, and the stop of its server.
+const metricsPatience = time.Second
+
+// WithLog runs a daemon beside its log, which is written out last.
+func WithLog(ctx context.Context, sink *LogSink, daemon func(context.Context) error) error {
+	logCtx, stop := context.WithCancel(context.WithoutCancel(ctx))
+	var group errgroup.Group
+	group.Go(func() error { return sink.Run(logCtx) })
+	err := daemon(ctx)
+	stop()
+	return errors.Join(err, group.Wait())
+}
+
+// WithMetrics runs a daemon beside a server for /metrics, if there is an address.
+func WithMetrics(ctx context.Context, address string, handler http.Handler, daemon func(context.Context) error) error {
+	if address == "" {
+		return daemon(ctx)
+	}
+	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", handler)
+	metrics := &http.Server{Addr: address, Handler: mux, ReadHeaderTimeout: metricsPatience}
+	var group errgroup.Group
+	group.Go(func() error {
+		if err := metrics.ListenAndServe(); !errors.Is(err, http.ErrServerClosed) {
+			return fmt.Errorf("serve metrics: %w", err)
+		}
+		return nil
+	})
+	group.Go(func() error {
+		defer closeServer(metrics)
+		return daemon(ctx)
+	})
+	return group.Wait()
+}
+
+func closeServer(s *http.Server) {
+	ctx, cancel := context.WithTimeout(context.Background(), metricsPatience)
+	defer cancel()
+	if err := s.Shutdown(ctx); err != nil {
+		// What is left are requests for metrics, which nobody needs to be told about.
+		_ = s.Close()
+	}
+}
--- a/internal/daemon/launcher/entry.go
+++ b/internal/daemon/launcher/entry.go
@@ -16,6 +16,7 @@
 	"github.com/burdockrudder/burdockrudder/internal/dispatch/messenger"
 	"github.com/burdockrudder/burdockrudder/internal/edge/server"
 	"github.com/burdockrudder/burdockrudder/internal/kernel/registrar"
+	"github.com/burdockrudder/burdockrudder/internal/settings/resolver"
 	"github.com/burdockrudder/burdockrudder/internal/settings/versioner"
 	"github.com/burdockrudder/burdockrudder/internal/storage/journaler"
 	"github.com/burdockrudder/burdockrudder/internal/storage/leaser"
@@ -43,6 +44,12 @@
 	Scope   tally.Scope
 	// Metrics serves /metrics.
 	Metrics http.Handler
+	// Settings, if set, watches the operators' settings in place of the table's
+	// head row. It runs as a service.
+	Settings func(sink SettingsSink) registrar.Service
+	// Front, if set, serves callers in a protocol of its own, beside HTTPListen.
+	// It is stopped after the decisions have drained.
+	Front func(dispatcher server.Dispatcher) registrar.Service
 	// Adjust, if set, changes the timing of the decisions.
 	Adjust func(*coordinator.Config)
 
@@ -69,17 +76,19 @@
 		return nil, err
 	}
 	e.control = control
-	parts := []struct {
-		name string
-		part any
-	}{
+	parts := []part{
 		{serviceTransport, e.Transport(control)},
 		{serviceJournal, e.newJournal(control)},
 		{serviceLeaser, e.newLeaser(control)},
-		{serviceWatcher, e.newWatcher(control)},
-		{serviceHTTP, e.newServer(control)},
-		{serviceControl, control},
+		{serviceWatcher, e.newSettings(control)},
 	}
+	if e.Config.HTTPListen != "" || e.HTTPListener != nil {
+		parts = append(parts, part{serviceHTTP, e.newServer(control)})
+	}
+	if e.Front != nil {
+		parts = append(parts, part{serviceFront, e.Front(control)})
+	}
+	parts = append(parts, part{serviceControl, control})
 	for _, p := range parts {
 		if err := kernel.Register(p.name, p.part); err != nil {
 			return nil, err
@@ -147,6 +156,17 @@
 	return l
 }
 
+// SettingsSink takes the settings that a watcher has read. The tree is nil if the
+// version is not higher than all before; the receiver does not change it.
+type SettingsSink func(sentAt time.Time, version uint64, tree *resolver.Tree)
+
+func (e *Entry) newSettings(control *entryControl) registrar.Service {
+	if e.Settings != nil {
+		return e.Settings(control.settingsRead)
+	}
+	return e.newWatcher(control)
+}
+
 func (e *Entry) newWatcher(control *entryControl) *versioner.Watcher {
 	return &versioner.Watcher{
 		Table:  e.Table,
--- a/internal/daemon/launcher/invocations.go
+++ b/internal/daemon/launcher/invocations.go
@@ -50,7 +50,7 @@
 	result, err := i.endpoint.Invoke(ctx, invoker.Invocation{
 		Task: e.Task, Attempt: e.Attempt, Payload: e.Payload,
 	})
-	i.control.loop.post(gatekeeper.Invoked{
+	i.control.post(gatekeeper.Invoked{
 		Task:    e.Task,
 		Attempt: e.Attempt,
 		Outcome: outcomeOf(result, err),
--- a/internal/daemon/launcher/launcher.go
+++ b/internal/daemon/launcher/launcher.go
@@ -37,6 +37,9 @@
 	serviceControl   = "control"
 	serviceHTTP      = "http"
 	serviceInvoker   = "invoker"
+	serviceEndpoint  = "endpoint"
+	serviceDirectory = "directory"
+	serviceFront     = "front"
 )
 
 // incarnationBytes makes a collision of two incarnations of one name negligible.
--- a/internal/daemon/launcher/logging.go
+++ b/internal/daemon/launcher/logging.go
@@ -15,23 +15,23 @@
 	return parsed, nil
 }
 
-// NewLogger returns the logger of a daemon. Decisions are never sampled here;
-// the settings say which share of them is logged.
-func NewLogger(c LogConfig) (*zap.Logger, error) {
+// NewLogger returns a logger that writes to output. Decisions are never sampled
+// here; the settings say which share of them is logged.
+func NewLogger(c LogConfig, output zapcore.WriteSyncer) (*zap.Logger, error) {
 	level, err := parseLevel(c.Level)
 	if err != nil {
 		return nil, err
 	}
-	config := zap.NewProductionConfig()
-	config.Level = zap.NewAtomicLevelAt(level)
-	config.Encoding = c.Format
-	config.Sampling = nil
-	config.DisableCaller = true
-	config.DisableStacktrace = true
-	config.EncoderConfig.EncodeTime = zapcore.RFC3339NanoTimeEncoder
-	logger, err := config.Build()
-	if err != nil {
-		return nil, fmt.Errorf("build logger: %w", err)
+	return NewLeveledLogger(c.Format, output, zap.NewAtomicLevelAt(level)), nil
+}
+
+// NewLeveledLogger returns a logger whose level may change while it is used.
+func NewLeveledLogger(format string, output zapcore.WriteSyncer, level zap.AtomicLevel) *zap.Logger {
+	config := zap.NewProductionEncoderConfig()
+	config.EncodeTime = zapcore.RFC3339NanoTimeEncoder
+	encoder := zapcore.NewJSONEncoder(config)
+	if format == "console" {
+		encoder = zapcore.NewConsoleEncoder(config)
 	}
-	return logger, nil
+	return zap.New(zapcore.NewCore(encoder, output, level))
 }
--- a/internal/dispatch/coordinator/admit.go
+++ b/internal/dispatch/coordinator/admit.go
@@ -26,10 +26,18 @@
 func (s *State) submit(w waiter, submission messenger.Submission) {
 	s.counters.Submitted++
 	key := submission.Key
+	if j := s.jobs[key]; j != nil && j.givenUp {
+		j.successors = append(j.successors, successor{waiter: w, submission: submission})
+		return
+	}
 	if j := s.jobs[key]; j != nil {
 		s.attach(w, j, submission.Digest)
 		return
 	}
+	if submission.Volatile {
+		s.submitVolatile(w, submission)
+		return
+	}
 	if r := s.remotes[key]; r != nil {
 		s.joinRemote(w, r, submission.Digest)
 		return
@@ -93,6 +101,9 @@
 	case submission.Deadline > time.Duration(settings.MaxDeadline):
 		return never("deadline %s, the limit is %s", submission.Deadline, time.Duration(settings.MaxDeadline))
 	}
+	if fault := stepsFault(submission); fault != "" {
+		return never("%s", fault)
+	}
 	for i, spec := range submission.Tasks {
 		if len(spec.Payload) > settings.MaxPayloadBytes {
 			return never("task %d: payload of %d bytes, the limit is %d", i, len(spec.Payload), settings.MaxPayloadBytes)
@@ -205,6 +216,7 @@
 	delete(s.callKeys, call)
 	if j := s.jobs[key]; j != nil {
 		j.waiters = withoutCall(j.waiters, call)
+		s.abandon(j, call)
 	}
 	if r := s.remotes[key]; r != nil {
 		r.waiters = withoutCall(r.waiters, call)
--- a/internal/dispatch/coordinator/cancel.go
+++ b/internal/dispatch/coordinator/cancel.go
@@ -191,7 +191,7 @@
 			s.finishTask(t, t.unstarted(t.job.stopReason))
 		}
 	case messenger.RecordRunning:
-		if !s.now.Before(t.job.deadlineAt) {
+		if !s.now.Before(t.job.deadlineAt) && !t.job.submission.Volatile {
 			s.inDoubt(t, "the task had not ended when the deadline passed")
 		}
 	case messenger.RecordQueued, messenger.RecordFinished:
@@ -215,6 +215,10 @@
 			s.giveUpOpen(j)
 			continue
 		}
+		if j.submission.Volatile {
+			s.expireJob(j)
+			continue
+		}
 		j.expired = true
 		j.graceEnd = s.now.Add(s.Config.AnswerGrace)
 		heap.Push(&s.deadlines, j)
--- a/internal/dispatch/coordinator/config.go
+++ b/internal/dispatch/coordinator/config.go
@@ -46,6 +46,11 @@
 	AnswerGrace time.Duration
 	// DrainPatience bounds the wait for admitted jobs in a graceful stop.
 	DrainPatience time.Duration
+	// DrainLinger is how long a graceful stop goes on admitting volatile
+	// submissions, which come over connections that callers still have open.
+	DrainLinger time.Duration
+	// RetryAfter is what a refused caller of a volatile submission is told to wait.
+	RetryAfter time.Duration
 	// TicketLifetime is how long an id handed out by this entry may be used.
 	TicketLifetime time.Duration
 
@@ -53,6 +58,10 @@
 	SettingsLease  time.Duration
 	StartFreshness time.Duration
 	RecordHorizon  time.Duration
+	// OwnerLease is how long agents go on with the volatile tasks of an entry that
+	// they do not hear. Together with the endpoint's own lease it is below the
+	// pause after which callers hand a job in again.
+	OwnerLease time.Duration
 }
 
 // Defaults returns the timing of the design page for an entry.
@@ -77,5 +86,7 @@
 		SettingsLease:   2500 * time.Millisecond,
 		StartFreshness:  3 * time.Second,
 		RecordHorizon:   10 * time.Minute,
+		OwnerLease:      800 * time.Millisecond,
+		RetryAfter:      time.Second,
 	}
 }
--- a/internal/dispatch/coordinator/dispatch.go
+++ b/internal/dispatch/coordinator/dispatch.go
@@ -117,7 +117,7 @@
 	c.queue.Scan(s.now, func(item limiter.Item, place int) limiter.Step {
 		t := s.findTask(item.Task)
 		choice, ok := s.choose(t, c, "", place)
-		if !ok && choice.Reason == placer.ReasonHeldBack {
+		if !ok && (choice.Reason == placer.ReasonHeldBack || choice.Reason == placer.ReasonNoRoom) {
 			return limiter.Hold
 		}
 		if !ok {
@@ -143,6 +143,7 @@
 		Service:  c.key.service,
 		Labels:   c.labels,
 		Declared: t.job.submission.Tasks[t.index].DeclaredRunTime,
+		Size:     t.job.submission.Tasks[t.index].Size,
 		Avoid:    avoid,
 		Waiting:  place,
 		Ahead:    s.ahead(c, s.item(t)),
@@ -156,7 +157,7 @@
 	t.phase = taskSent
 	t.copies = append(t.copies, copySent{attempt: attempt, agent: a, at: s.now})
 	a.sent[copyKey{task: t.key(), attempt: attempt}] = t
-	s.index.Sent(s.now, a.name, t.key())
+	s.index.Sent(s.now, a.name, t.job.submission.Tasks[t.index].Size)
 	s.teams.Started(t.job.submission.Key.Firm, t.job.submission.Team)
 	s.budgetOf(t.job).Started()
 	s.counters.Starts++
@@ -187,6 +188,9 @@
 		Repeatable:       t.job.submission.Repeatable,
 		Payload:          spec.Payload,
 		ExpectedRunTime:  s.index.Expected(key.Firm, key.Service, spec.DeclaredRunTime),
+		Volatile:         t.job.submission.Volatile,
+		Size:             spec.Size,
+		Position:         spec.Position,
 	}
 }
 
@@ -201,6 +205,7 @@
 	t.copies = append(t.copies[:i], t.copies[i+1:]...)
 	delete(a.sent, copyKey{task: t.key(), attempt: attempt})
 	returned.Declared = t.job.submission.Tasks[t.index].DeclaredRunTime
+	returned.Size = t.job.submission.Tasks[t.index].Size
 	s.index.Returned(s.now, a.name, returned)
 	s.teams.Ended(t.job.submission.Key.Firm, t.job.submission.Team)
 	return true
--- a/internal/dispatch/coordinator/drain.go
+++ b/internal/dispatch/coordinator/drain.go
@@ -7,9 +7,16 @@
 func (s *State) drainRequested() {
 	if step(s.lifeCycle, eventDrain) {
 		s.drainBy = s.now.Add(s.Config.DrainPatience)
+		s.lingerUntil = s.now.Add(s.Config.DrainLinger)
 	}
 }
 
+// lingers tells whether a draining entry still admits volatile submissions:
+// callers go on using their open connections for a while.
+func (s *State) lingers() bool {
+	return s.lifeCycle.Is(entryDraining) && s.now.Before(s.lingerUntil)
+}
+
 func (s *State) drainTick() {
 	if !s.lifeCycle.Is(entryDraining) {
 		return
@@ -17,7 +24,7 @@
 	if !s.now.Before(s.drainBy) {
 		s.endDrain()
 	}
-	if !s.busy() {
+	if !s.busy() && !s.lingers() {
 		step(s.lifeCycle, eventStop)
 		s.emit(ReleaseLease{})
 		s.emit(Drained{})
--- a/internal/dispatch/coordinator/intent.go
+++ b/internal/dispatch/coordinator/intent.go
@@ -168,7 +168,9 @@
 		s.hedgeable = append(s.hedgeable, j)
 	}
 	for i := range j.tasks {
-		s.enqueue(&j.tasks[i])
+		if !j.blocked(&j.tasks[i]) {
+			s.enqueue(&j.tasks[i])
+		}
 	}
 	if j.stopReason != "" {
 		s.stop(j, j.stopReason)
--- a/internal/dispatch/coordinator/job.go
+++ b/internal/dispatch/coordinator/job.go
@@ -42,6 +42,13 @@
 	told bool
 	// rowRefused is true once the table has refused the outcome row for good.
 	rowRefused bool
+	// givenUp is true of a volatile job that ended without an outcome.
+	givenUp bool
+	// successors are submissions of the same id that wait until every copy of a
+	// given-up job has ended.
+	successors []successor
+	// openIn counts, for each step, the tasks that have not succeeded.
+	openIn []int
 	// unrecorded says why the table takes no outcome row at all.
 	unrecorded string
 }
@@ -67,6 +74,8 @@
 	// earlier is how the last attempt ended that ran or may have run.
 	earlier messenger.TaskOutcome
 	hedged  bool
+	// failures counts the failed attempts of a volatile task.
+	failures int
 }
 
 // copySent is one attempt that an agent has been asked to start and has not
--- a/internal/dispatch/coordinator/members.go
+++ b/internal/dispatch/coordinator/members.go
@@ -153,7 +153,7 @@
 	a.sequence = m.Sequence
 	a.settingsVersion = m.SettingsVersion
 	if first || a.scope.Service != m.Load.Service || !slices.Equal(a.load.Labels, m.Load.Labels) ||
-		a.load.Slots != m.Load.Slots {
+		a.load.Slots != m.Load.Slots || a.load.Capacity != m.Load.Capacity {
 		a.load = m.Load
 		s.register(a)
 	}
@@ -184,6 +184,7 @@
 		Scope:      a.scope,
 		Labels:     a.load.Labels,
 		Slots:      a.load.Slots,
+		Capacity:   a.load.Capacity,
 		QueueLimit: settings.QueueLimit,
 		EjectAfter: settings.EjectAfter,
 		EjectFor:   time.Duration(settings.EjectFor),
@@ -219,6 +220,7 @@
 	changed := a.load.Draining != load.Draining
 	load.Service = a.load.Service
 	load.Labels = a.load.Labels
+	load.Capacity = a.load.Capacity
 	a.load = load
 	s.index.Told(s.now, a.name, load)
 	if changed {
--- a/internal/dispatch/coordinator/results.go
+++ b/internal/dispatch/coordinator/results.go
@@ -18,7 +18,7 @@
 	switch m.Outcome.State {
 	case messenger.TaskFailed:
 		verdict = placer.Failed
-	case messenger.TaskMayHaveRun, messenger.TaskNotRun:
+	case messenger.TaskMayHaveRun, messenger.TaskNotRun, messenger.TaskInterrupted:
 		verdict = placer.Lost
 	case messenger.TaskSucceeded:
 	}
@@ -38,6 +38,9 @@
 	if failed.State != messenger.TaskNotRun {
 		t.earlier = failed
 	}
+	if t.job.submission.Volatile {
+		return s.retryVolatile(t, failed)
+	}
 	if !t.job.submission.Repeatable || t.job.stopReason != "" {
 		return false
 	}
@@ -68,6 +71,9 @@
 	if !m.NeverStarted {
 		verdict = placer.Lost
 	}
+	if m.Reason == messenger.RefusedByEndpoint {
+		verdict = placer.Failed
+	}
 	taken := s.takeCopy(t, m.Attempt, from, placer.Returned{Verdict: verdict})
 	s.toldLoad(from, m.Load)
 	if !taken || t.phase == taskDone {
@@ -93,7 +99,7 @@
 func (s *State) holdBack(from messenger.Incarnation, reason messenger.RefusalReason) {
 	a := s.agentOf[from]
 	switch reason {
-	case messenger.RefusedUnconfirmed, messenger.RefusedDomainOut, messenger.RefusedStale:
+	case messenger.RefusedUnconfirmed, messenger.RefusedDomainOut, messenger.RefusedStale, messenger.RefusedLeaseLost:
 		if a != nil {
 			a.heldBack = true
 			s.updateBlocks(a)
@@ -134,7 +140,9 @@
 	s.countResult(t)
 	if outcome.State != messenger.TaskSucceeded && j.stopReason == "" {
 		s.stop(j, "another task of the job did not succeed")
+		s.endVolatile(j)
 	}
+	s.stepAdvanced(t)
 	if j.open == 0 && j.lifeCycle.Is(jobRunning) {
 		s.settle(j)
 	}
@@ -145,7 +153,7 @@
 	j.stopReason = reason
 	for i := range j.tasks {
 		t := &j.tasks[i]
-		if t.phase == taskWaiting {
+		if t.phase == taskWaiting || t.phase == taskNew {
 			s.finishTask(t, t.unstarted(reason))
 		}
 	}
--- a/internal/dispatch/coordinator/settings.go
+++ b/internal/dispatch/coordinator/settings.go
@@ -139,6 +139,7 @@
 		SettingsLease:  s.Config.SettingsLease,
 		StartFreshness: s.Config.StartFreshness,
 		RecordHorizon:  s.Config.RecordHorizon,
+		OwnerLease:     s.Config.OwnerLease,
 	}
 }
 
--- a/internal/dispatch/coordinator/settle.go
+++ b/internal/dispatch/coordinator/settle.go
@@ -15,6 +15,10 @@
 	step(j.lifeCycle, eventFinish)
 	j.settlingAt = s.now
 	j.outcome = outcomeOf(j)
+	if j.submission.Volatile {
+		s.settleVolatile(j)
+		return
+	}
 	s.settling = append(s.settling, j)
 	s.emit(CommitOutcome{Outcome: j.outcome})
 	if s.storeDown {
--- a/internal/dispatch/coordinator/snapshot.go
+++ b/internal/dispatch/coordinator/snapshot.go
@@ -26,7 +26,9 @@
 	LiveSubmissions int            `json:"live_submissions"`
 	WaitingTasks    int            `json:"waiting_tasks"`
 	SentTasks       int            `json:"sent_tasks"`
-	Counters        Counters       `json:"counters"`
+	// PendingByQueue counts the jobs of which no task has been sent.
+	PendingByQueue map[string]int `json:"pending_by_queue,omitempty"`
+	Counters       Counters       `json:"counters"`
 }
 
 // EndpointView is what an entry knows of an endpoint.
--- a/internal/dispatch/coordinator/state.go
+++ b/internal/dispatch/coordinator/state.go
@@ -23,6 +23,8 @@
 	effects   []Effect
 	lifeCycle *fsm.FSM
 	drainBy   time.Time
+	// lingerUntil is the end of the admissions of a draining entry.
+	lingerUntil time.Time
 
 	tree        *resolver.Tree
 	version     uint64
@@ -102,6 +104,7 @@
 	s.now = now
 	s.effects = nil
 	s.checkStall()
+	s.expireVolatile()
 	s.apply(event)
 	s.dispatch()
 	s.tellWaiting()
--- a/internal/dispatch/coordinator/view.go
+++ b/internal/dispatch/coordinator/view.go
@@ -17,6 +17,7 @@
 		view.LifeCycle = s.lifeCycle.Current()
 		view.Counters.Ejections = s.index.Ejections()
 	}
+	view.PendingByQueue = s.pendingByQueue()
 	for _, c := range s.order {
 		view.WaitingTasks += c.queue.Len()
 	}
@@ -27,6 +28,21 @@
 	return view
 }
 
+// pendingByQueue looks at the jobs with waiting tasks only.
+func (s *State) pendingByQueue() map[string]int {
+	var pending map[string]int
+	for _, j := range s.jobs {
+		if j.submission.Queue == "" || j.told || j.givenUp || j.mayHaveStarted() {
+			continue
+		}
+		if pending == nil {
+			pending = make(map[string]int)
+		}
+		pending[j.submission.Queue]++
+	}
+	return pending
+}
+
 func (s *State) viewEndpoint(a *agent) EndpointView {
 	return EndpointView{
 		Name:            a.name,
--- a/internal/dispatch/gatekeeper/events.go
+++ b/internal/dispatch/gatekeeper/events.go
@@ -33,6 +33,8 @@
 	Service string   `json:"service"`
 	Slots   int      `json:"slots"`
 	Labels  []string `json:"labels,omitempty"`
+	// Capacity, if stated, replaces the slots.
+	Capacity messenger.Resources `json:"capacity,omitzero"`
 }
 
 // EndpointDeparting reports that the endpoint leaves: nothing new goes to it.
@@ -42,6 +44,7 @@
 type Invoked struct {
 	Task    messenger.TaskKey     `json:"task"`
 	Attempt int                   `json:"attempt"`
+	Run     int                   `json:"run,omitempty"`
 	Outcome messenger.TaskOutcome `json:"outcome"`
 	RunTime time.Duration         `json:"run_time"`
 }
@@ -73,6 +76,18 @@
 	Attempt  int               `json:"attempt"`
 	Payload  []byte            `json:"payload,omitempty"`
 	TimeLeft time.Duration     `json:"time_left"`
+	// Run numbers the runs of a volatile task at this agent, from 1.
+	Run      int                `json:"run,omitempty"`
+	Position messenger.Position `json:"position,omitzero"`
+}
+
+// Abort ends a run of a volatile task. Invoked follows once it has ended.
+type Abort struct {
+	Task     messenger.TaskKey  `json:"task"`
+	Run      int                `json:"run"`
+	Position messenger.Position `json:"position,omitzero"`
+	// Reason says why, for the log.
+	Reason string `json:"reason"`
 }
 
 // DirectoryChanged lists the entries to link to.
@@ -94,6 +109,7 @@
 
 func (Send) effect()             {}
 func (Invoke) effect()           {}
+func (Abort) effect()            {}
 func (DirectoryChanged) effect() {}
 func (Decision) effect()         {}
 func (Drained) effect()          {}
--- a/internal/dispatch/gatekeeper/fences.go
+++ b/internal/dispatch/gatekeeper/fences.go
@@ -35,6 +35,7 @@
 			kept = append(kept, r)
 			continue
 		}
+		s.waiting = s.waiting.Sub(r.size)
 		r.state = messenger.RecordTombstoned
 		r.stoppedByFence = !r.repeatable
 		r.payload = nil
--- a/internal/dispatch/gatekeeper/life_cycle.go
+++ b/internal/dispatch/gatekeeper/life_cycle.go
@@ -30,11 +30,9 @@
 }
 
 // step moves the life cycle; an event that does not apply in the present state
-// changes nothing.
-func (s *State) step(event string) {
-	if s.lifeCycle.Can(event) {
-		_ = s.lifeCycle.Event(context.Background(), event)
-	}
+// changes nothing. It tells whether the event applied.
+func (s *State) step(event string) bool {
+	return s.lifeCycle.Can(event) && s.lifeCycle.Event(context.Background(), event) == nil
 }
 
 func (s *State) announced(e EndpointAnnounced) {
--- a/internal/dispatch/gatekeeper/reports.go
+++ b/internal/dispatch/gatekeeper/reports.go
@@ -73,10 +73,11 @@
 
 // status takes the settings and the confirmation of an entry. The higher version
 // wins; a confirmation counts only for the version in force here.
-func (s *State) status(m messenger.Status) {
+func (s *State) status(from messenger.Incarnation, m messenger.Status) {
 	if m.Settings != nil && m.Settings.Version > s.settings.Version {
 		s.settings = *m.Settings
 	}
+	s.renewOwner(from, m.EchoSequence)
 	s.confirm(m)
 	s.takeDirectory(m.Directory)
 	if reason, blocked := s.blocked(); blocked {
--- a/internal/dispatch/gatekeeper/results.go
+++ b/internal/dispatch/gatekeeper/results.go
@@ -1,19 +1,22 @@
 package gatekeeper
 
 import (
-	"slices"
-
 	"github.com/burdockrudder/burdockrudder/internal/dispatch/messenger"
 )
 
 // invoked takes the endpoint's answer. TaskNotRun means that the endpoint proved
 // that it did not start the task.
 func (s *State) invoked(e Invoked) {
+	if e.Run > 0 {
+		s.volatileEnded(e)
+		return
+	}
 	r := s.records[e.Task]
 	if r == nil || r.attempt != e.Attempt || r.state != messenger.RecordRunning {
 		return
 	}
 	s.running--
+	s.taken = s.taken.Sub(r.size)
 	if e.Outcome.State == messenger.TaskNotRun {
 		// The endpoint takes nothing now; its next announcement brings it back.
 		s.announcedAt = s.now.Add(-2 * announceLifetime)
@@ -65,11 +68,14 @@
 	case m.Attempt < r.attempt:
 		return
 	case r.state == messenger.RecordQueued:
-		s.queue = slices.DeleteFunc(s.queue, func(q *record) bool { return q == r })
+		s.dequeue(r)
 		r.state = messenger.RecordTombstoned
 		r.payload = nil
 	}
 	s.send(from, messenger.Cancelled{Task: m.Task, Attempt: m.Attempt, State: r.state})
+	if r.volatile && r.owner == from && r.state == messenger.RecordRunning {
+		s.abort(r, "cancelled by the owner")
+	}
 	if r.state == messenger.RecordFinished {
 		s.sendFinished(from, r)
 	}
--- a/internal/dispatch/gatekeeper/starts.go
+++ b/internal/dispatch/gatekeeper/starts.go
@@ -10,7 +10,7 @@
 func (s *State) received(from messenger.Incarnation, m messenger.Message) {
 	switch m := m.(type) {
 	case messenger.Status:
-		s.status(m)
+		s.status(from, m)
 	case messenger.Start:
 		s.start(from, m)
 	case messenger.Cancel:
@@ -32,6 +32,11 @@
 		return
 	}
 	known := s.records[m.Task]
+	if m.Volatile {
+		s.renewOwner(from, m.ReportSequence)
+		s.startVolatile(from, m, known)
+		return
+	}
 	if known != nil && s.answerKnown(from, m, known) {
 		return
 	}
@@ -44,13 +49,21 @@
 		// The entry counts its own starts.
 		l.told++
 	}
-	if s.running < s.endpoint.Slots {
+	if s.fits(r.size) {
 		s.invoke(r)
 		return
 	}
 	s.enqueue(r)
 }
 
+// fits tells whether the endpoint has room for a task now.
+func (s *State) fits(size messenger.Resources) bool {
+	if s.endpoint.Capacity.IsZero() {
+		return s.running < s.endpoint.Slots
+	}
+	return size.Fits(s.endpoint.Capacity.Sub(s.taken))
+}
+
 // answerKnown answers a start whose task has a record. It returns false if the
 // start is a new attempt that may be considered.
 func (s *State) answerKnown(from messenger.Incarnation, m messenger.Start, r *record) bool {
@@ -107,7 +120,7 @@
 	if m.TimeLeft <= 0 {
 		return messenger.RefusedExpired, true
 	}
-	if s.running >= s.endpoint.Slots && len(s.queue) >= s.settings.QueueLimit {
+	if !s.fits(m.Size) && len(s.queue) >= s.settings.QueueLimit {
 		return messenger.RefusedQueueFull, true
 	}
 	return "", false
@@ -139,6 +152,9 @@
 		payload:    m.Payload,
 		expected:   m.ExpectedRunTime,
 		deadline:   s.now.Add(m.TimeLeft),
+		volatile:   m.Volatile,
+		size:       m.Size,
+		position:   m.Position,
 	}
 	s.keep(r)
 	return r
@@ -146,6 +162,9 @@
 
 func (s *State) keep(r *record) {
 	r.keepUntil = s.now.Add(s.recordHorizon())
+	if r.volatile {
+		r.keepUntil = s.now.Add(volatileHorizon)
+	}
 	s.records[r.task] = r
 	s.expiring = append(s.expiring, expiry{task: r.task, at: r.keepUntil})
 }
@@ -159,8 +178,15 @@
 func (s *State) invoke(r *record) {
 	r.state = messenger.RecordRunning
 	s.running++
+	s.taken = s.taken.Add(r.size)
+	if r.volatile {
+		s.live[runKey{task: r.task, run: r.run}] = r
+	}
 	s.emit(Decision{Task: r.task, Attempt: r.attempt, Owner: r.owner, Started: true})
-	s.emit(Invoke{Task: r.task, Attempt: r.attempt, Payload: r.payload, TimeLeft: r.deadline.Sub(s.now)})
+	s.emit(Invoke{
+		Task: r.task, Attempt: r.attempt, Payload: r.payload, TimeLeft: r.deadline.Sub(s.now),
+		Run: r.run, Position: r.position,
+	})
 	r.payload = nil
 }
 
@@ -172,12 +198,33 @@
 		at--
 	}
 	s.queue = slices.Insert(s.queue, at, r)
+	s.waiting = s.waiting.Add(r.size)
+}
+
+// dequeue takes a record out of the queue.
+func (s *State) dequeue(r *record) {
+	s.queue = slices.DeleteFunc(s.queue, func(q *record) bool { return q == r })
+	s.waiting = s.waiting.Sub(r.size)
+}
+
+// nextQueued returns the first queued record that may start by room, or nil. One
+// that waits for an earlier run of its task does not hold up those behind it.
+func (s *State) nextQueued() *record {
+	for _, r := range s.queue {
+		if r.behind != nil {
+			continue
+		}
+		if !s.fits(r.size) {
+			return nil
+		}
+		return r
+	}
+	return nil
 }
 
 func (s *State) startQueued() {
-	for len(s.queue) > 0 && s.running < s.endpoint.Slots {
-		r := s.queue[0]
-		s.queue = s.queue[1:]
+	for r := s.nextQueued(); r != nil; r = s.nextQueued() {
+		s.dequeue(r)
 		if reason, blocked := s.blocked(); blocked {
 			s.returnRecord(r, reason)
 			continue
@@ -194,6 +241,7 @@
 func (s *State) returnQueue(reason messenger.RefusalReason) {
 	queue := s.queue
 	s.queue = nil
+	s.waiting = messenger.Resources{}
 	for _, r := range queue {
 		s.returnRecord(r, reason)
 	}
--- a/internal/dispatch/gatekeeper/state.go
+++ b/internal/dispatch/gatekeeper/state.go
@@ -56,10 +56,17 @@
 	// loadToldAt is when a changed load was last reported.
 	loadToldAt time.Time
 
-	records     map[messenger.TaskKey]*record
-	expiring    []expiry
-	queue       []*record
-	running     int
+	records  map[messenger.TaskKey]*record
+	expiring []expiry
+	queue    []*record
+	running  int
+	// taken is the room of the running tasks, waiting that of the queued ones.
+	taken   messenger.Resources
+	waiting messenger.Resources
+	// live holds the runs of volatile tasks that have not ended.
+	live map[runKey]*record
+	// echoed is when the youngest report was sent that each entry has echoed.
+	echoed      map[messenger.Incarnation]time.Time
 	pace        pace
 	results     []*record
 	resultBytes int
@@ -86,6 +93,22 @@
 	// stoppedByFence is true of a tombstone of the present attempt that the fence
 	// of its owner left.
 	stoppedByFence bool
+
+	volatile bool
+	size     messenger.Resources
+	position messenger.Position
+	// run numbers the runs of a volatile task here.
+	run int
+	// aborted is true once the run of a volatile task was asked to end.
+	aborted bool
+	// behind is the run of the same task that must end before this one starts.
+	behind *record
+}
+
+// runKey names one run of a volatile task.
+type runKey struct {
+	task messenger.TaskKey
+	run  int
 }
 
 // listener is a linked entry.
@@ -131,9 +154,10 @@
 	case EndpointAnnounced:
 		s.announced(e)
 	case EndpointDeparting:
-		s.step(eventDepart)
-		s.returnQueue(messenger.RefusedDraining)
-		s.reportAll()
+		if s.step(eventDepart) {
+			s.returnQueue(messenger.RefusedDraining)
+			s.reportAll()
+		}
 	case Invoked:
 		s.invoked(e)
 	case DrainRequested:
@@ -155,6 +179,8 @@
 	s.records = make(map[messenger.TaskKey]*record)
 	s.fenced = make(map[messenger.Incarnation]*fence)
 	s.witnessed = make(map[messenger.SubmissionKey]witness)
+	s.live = make(map[runKey]*record)
+	s.echoed = make(map[messenger.Incarnation]time.Time)
 	if s.ReportInterval == 0 {
 		s.ReportInterval = 500 * time.Millisecond
 	}
@@ -175,6 +201,7 @@
 	if reason, blocked := s.blocked(); blocked {
 		s.returnQueue(reason)
 	}
+	s.checkOwners()
 	s.startQueued()
 	s.expire()
 }
@@ -191,9 +218,12 @@
 		Slowness: s.pace.slowness,
 		Runs:     s.pace.runs,
 		Draining: !s.lifeCycle.Is(stateServing),
+		Capacity: s.endpoint.Capacity,
+		Taken:    s.taken.Add(s.waiting),
 	}
 	if s.endpointLapsed() {
 		load.Slots = 0
+		load.Draining = load.Draining || !load.Capacity.IsZero()
 	}
 	return load
 }
@@ -207,6 +237,7 @@
 	}
 	load.Service = ""
 	load.Labels = nil
+	load.Capacity = messenger.Resources{}
 	return load
 }
 
--- /dev/null
+++ b/internal/dispatch/gatekeeper/volatile.go
@@ -0,0 +1,171 @@
+package gatekeeper
+
+import (
+	"slices"
+	"time"
+
+	"github.com/burdockrudder/burdockrudder/internal/dispatch/messenger"
+)
+
+// volatileHorizon is how long records of volatile tasks are kept. A start is
+// refused when it is older than StartFreshness (3 s), so copies of it that come
+// later need no record.
+const volatileHorizon = 10 * time.Second
+
+// startVolatile is the gate for volatile tasks. A caller whose call broke may
+// hand the same job to another entry, so a task may come from several owners; at
+// most one run of it exists here at a time.
+func (s *State) startVolatile(from messenger.Incarnation, m messenger.Start, known *record) {
+	if known != nil && known.owner == m.Owner && m.Attempt <= known.attempt {
+		if m.Attempt == known.attempt {
+			s.repeatAnswer(from, known)
+		}
+		return
+	}
+	if reason, refused := s.refusal(m); refused {
+		s.refuseVolatile(from, m, reason)
+		return
+	}
+	r := s.newRecord(m)
+	r.run = m.Attempt + 1
+	if known != nil {
+		r.run = max(r.run, known.run+1)
+		s.supersede(r, known)
+	}
+	if l := s.entries[from]; l != nil {
+		// The entry counts its own starts.
+		l.told++
+	}
+	if r.behind == nil && s.fits(r.size) {
+		s.invoke(r)
+		return
+	}
+	s.enqueue(r)
+}
+
+// supersede ends what another owner has asked for of the same task.
+func (s *State) supersede(r, known *record) {
+	switch known.state {
+	case messenger.RecordQueued:
+		s.dequeue(known)
+		s.returnRecord(known, messenger.RefusedStarted)
+	case messenger.RecordRunning:
+		r.behind = known
+		s.abort(known, "another owner asks for the task")
+	case messenger.RecordFinished, messenger.RecordTombstoned:
+	}
+}
+
+// refuseVolatile leaves a record only where none is kept: one of an earlier run
+// that has not ended must stay.
+func (s *State) refuseVolatile(to messenger.Incarnation, m messenger.Start, reason messenger.RefusalReason) {
+	if s.records[m.Task] == nil {
+		s.refuseForGood(to, m, reason)
+		return
+	}
+	s.refuse(to, m, reason, true)
+}
+
+// abort asks the endpoint to end a run, once.
+func (s *State) abort(r *record, reason string) {
+	if r.aborted || r.state != messenger.RecordRunning {
+		return
+	}
+	r.aborted = true
+	s.emit(Abort{Task: r.task, Run: r.run, Position: r.position, Reason: reason})
+}
+
+// volatileEnded takes the proved end of a run.
+func (s *State) volatileEnded(e Invoked) {
+	key := runKey{task: e.Task, run: e.Run}
+	r := s.live[key]
+	if r == nil {
+		return
+	}
+	delete(s.live, key)
+	s.running--
+	s.taken = s.taken.Sub(r.size)
+	s.releaseBehind(r)
+	if e.Outcome.State == messenger.TaskNotRun {
+		s.returnRecord(r, messenger.RefusedByEndpoint)
+	} else {
+		r.state = messenger.RecordFinished
+		r.outcome = e.Outcome
+		r.runTime = e.RunTime
+		if e.Outcome.State == messenger.TaskSucceeded {
+			s.pace.learn(e.RunTime, r.expected)
+		}
+		s.sendFinished(r.owner, r)
+	}
+	s.startQueued()
+	s.checkDrained()
+}
+
+// releaseBehind lets the run start that waited for the end of r.
+func (s *State) releaseBehind(r *record) {
+	for _, q := range s.queue {
+		if q.behind == r {
+			q.behind = nil
+		}
+	}
+}
+
+// renewOwner dates the lease of an entry by the report that it echoes.
+func (s *State) renewOwner(from messenger.Incarnation, sequence uint64) {
+	sent, ok := s.sentTime(sequence)
+	if ok && sent.After(s.echoed[from]) {
+		s.echoed[from] = sent
+	}
+}
+
+// checkOwners ends the volatile tasks of entries that have not been heard within
+// their lease, and those past their deadline. The caller of a lost entry may hand
+// the job to another one soon after.
+func (s *State) checkOwners() {
+	for _, r := range s.liveRecords() {
+		switch {
+		case s.ownerLapsed(r.owner):
+			s.abort(r, "the owner was not heard within its lease")
+		case !r.deadline.After(s.now):
+			s.abort(r, "the deadline passed")
+		}
+	}
+	for _, r := range slices.Clone(s.queue) {
+		if r.volatile && s.ownerLapsed(r.owner) {
+			s.dequeue(r)
+			s.returnRecord(r, messenger.RefusedLeaseLost)
+		}
+	}
+	for owner, at := range s.echoed {
+		if s.now.Sub(at) > fenceHorizon {
+			delete(s.echoed, owner)
+		}
+	}
+}
+
+func (s *State) ownerLapsed(owner messenger.Incarnation) bool {
+	lease := s.settings.OwnerLease
+	return lease > 0 && s.now.Sub(s.echoed[owner]) > lease
+}
+
+// liveRecords returns the runs in a fixed order.
+func (s *State) liveRecords() []*record {
+	records := make([]*record, 0, len(s.live))
+	for _, r := range s.live {
+		records = append(records, r)
+	}
+	slices.SortFunc(records, func(a, b *record) int {
+		return compareTasks(a.task, b.task)
+	})
+	return records
+}
+
+func compareTasks(a, b messenger.TaskKey) int {
+	if a.Submission != b.Submission {
+		if a.Submission.String() < b.Submission.String() {
+			return -1
+		}
+		return 1
+	}
+	return a.Index - b.Index
+}
--- a/internal/dispatch/messenger/endpoint.go
+++ b/internal/dispatch/messenger/endpoint.go
@@ -14,6 +14,10 @@
 	Runs     int      `json:"runs,omitempty"`
 	Draining bool     `json:"draining,omitempty"`
 	Labels   []string `json:"labels,omitempty"`
+	// Capacity is what the endpoint has, and Taken what its tasks take of it,
+	// queued ones included. An endpoint without capacity has slots only.
+	Capacity Resources `json:"capacity,omitzero"`
+	Taken    Resources `json:"taken,omitzero"`
 }
 
 // DomainState says whether tasks may start in a failure domain.
@@ -37,6 +41,9 @@
 	StartFreshness time.Duration `json:"start_freshness"`
 	// RecordHorizon is how long start records and tombstones are kept.
 	RecordHorizon time.Duration `json:"record_horizon"`
+	// OwnerLease is the age of the youngest report that an entry has echoed beyond
+	// which the agent ends the entry's volatile tasks. Zero means never.
+	OwnerLease time.Duration `json:"owner_lease,omitempty"`
 }
 
 // EntryAddress tells where an entry listens for links.
--- a/internal/dispatch/messenger/messages.go
+++ b/internal/dispatch/messenger/messages.go
@@ -66,6 +66,9 @@
 	Payload          []byte        `json:"payload,omitempty"`
 	// ExpectedRunTime is what the entry expects on an endpoint of mean speed.
 	ExpectedRunTime time.Duration `json:"expected_run_time,omitempty"`
+	Volatile        bool          `json:"volatile,omitempty"`
+	Size            Resources     `json:"size,omitzero"`
+	Position        Position      `json:"position,omitzero"`
 }
 
 // RefusalReason says why an agent did not start a task.
@@ -84,6 +87,10 @@
 	RefusedStarted     RefusalReason = "already_started"
 	RefusedExpired     RefusalReason = "deadline_passed"
 	RefusedNoEndpoint  RefusalReason = "no_endpoint"
+	// RefusedLeaseLost: the owner has not been heard within its lease.
+	RefusedLeaseLost RefusalReason = "owner_lease_lost"
+	// RefusedByEndpoint: the endpoint itself did not take the task.
+	RefusedByEndpoint RefusalReason = "endpoint_refused"
 )
 
 // Refused tells an entry that this attempt was not started. With NeverStarted
@@ -105,7 +112,7 @@
 	Load    EndpointLoad  `json:"load"`
 }
 
-// Cancel asks an agent not to start a task.
+// Cancel asks an agent not to start a task, and to end a volatile one that runs.
 type Cancel struct {
 	Task    TaskKey `json:"task"`
 	Attempt int     `json:"attempt"`
--- a/internal/dispatch/messenger/refusal.go
+++ b/internal/dispatch/messenger/refusal.go
@@ -1,5 +1,7 @@
 package messenger
 
+import "time"
+
 // RefusalCode classifies an answer that is not an outcome.
 type RefusalCode string
 
@@ -19,6 +21,8 @@
 	CodeNotFound RefusalCode = "not_found"
 	// CodeQuota: the team's quota of waiting tasks is used up. Not run.
 	CodeQuota RefusalCode = "quota_exceeded"
+	// CodeOverloaded: the submission could not be served in time. Not run.
+	CodeOverloaded RefusalCode = "overloaded"
 	// CodeInProgress: the submission is known and not yet settled.
 	CodeInProgress RefusalCode = "in_progress"
 )
@@ -27,6 +31,8 @@
 type Refusal struct {
 	Code   RefusalCode `json:"code"`
 	Reason string      `json:"reason"`
+	// RetryAfter is when the caller may come back; zero means that nothing is known.
+	RetryAfter time.Duration `json:"retry_after,omitempty"`
 }
 
 // Error returns the code and the reason.
--- a/internal/dispatch/messenger/submission.go
+++ b/internal/dispatch/messenger/submission.go
@@ -29,6 +29,16 @@
 	Labels []string `json:"labels,omitempty"`
 	// DeclaredRunTime is a hint; it may be far off.
 	DeclaredRunTime time.Duration `json:"declared_run_time,omitempty"`
+	// Size is what the task takes of its endpoint. Without it, a task takes a slot.
+	Size Resources `json:"size,omitzero"`
+	// Position is the place of the task in the steps of its job.
+	Position Position `json:"position,omitzero"`
+}
+
+// Position names a task by its step and its index in the step.
+type Position struct {
+	Step  int `json:"step,omitempty"`
+	Index int `json:"index,omitempty"`
 }
 
 // MaxTasks is the limit of tasks of one submission, whatever the settings say.
@@ -46,6 +56,15 @@
 	// Digest identifies the body, so that another body under the same id is recognised.
 	Digest string     `json:"digest"`
 	Tasks  []TaskSpec `json:"tasks"`
+	// Queue names the queue of the settings that the submission came through.
+	Queue string `json:"queue,omitempty"`
+	// Volatile submissions are not recorded: only the callers that wait learn the
+	// outcome. Attempts of their tasks may follow each other and never overlap.
+	Volatile bool `json:"volatile,omitempty"`
+	// MaxAttempts is how often a task of a volatile submission may fail.
+	MaxAttempts int `json:"max_attempts,omitempty"`
+	// After lists, for each step, the steps whose tasks must all succeed before.
+	After [][]int `json:"after,omitempty"`
 }
 
 // TaskState is the final state of one task.
@@ -61,6 +80,9 @@
 	TaskNotRun TaskState = "not_run"
 	// TaskMayHaveRun means that nobody can prove whether the task started.
 	TaskMayHaveRun TaskState = "may_have_run"
+	// TaskInterrupted means that the task started and was ended before it was
+	// done. It is proved that it no longer runs.
+	TaskInterrupted TaskState = "interrupted"
 )
 
 // TaskOutcome is the final state of one task with its result or reason.
--- a/internal/dispatch/placer/behind.go
+++ b/internal/dispatch/placer/behind.go
@@ -17,7 +17,7 @@
 		return cmp.Or(cmp.Compare(a.factor, b.factor), cmp.Compare(a.Name, b.Name))
 	})
 	for _, m := range ranked {
-		free := m.Slots - m.used()
+		free := m.places(s.query.Size)
 		if left >= free {
 			left -= free
 			continue
--- a/internal/dispatch/placer/bench_test.go
+++ b/internal/dispatch/placer/bench_test.go
@@ -44,7 +44,7 @@
 		if !ok {
 			b.Fatal("nothing is free")
 		}
-		x.Sent(now, c.Endpoint, messenger.TaskKey{})
+		x.Sent(now, c.Endpoint, messenger.Resources{})
 		return c.Endpoint
 	}
 	for i := range busy {
--- a/internal/dispatch/placer/choose.go
+++ b/internal/dispatch/placer/choose.go
@@ -4,6 +4,8 @@
 	"math"
 	"math/rand/v2"
 	"time"
+
+	"github.com/burdockrudder/burdockrudder/internal/dispatch/messenger"
 )
 
 const (
@@ -18,6 +20,8 @@
 	Firm, Service string
 	Labels        []string
 	Declared      time.Duration
+	// Size is what the task takes of an endpoint with a stated capacity.
+	Size messenger.Resources
 	// Avoid names an endpoint to use only if no other of the class is open.
 	Avoid string
 	// Urgent tasks are not used to probe an ejected endpoint.
@@ -45,6 +49,8 @@
 	ReasonLeastFinish = "least_expected_finish"
 	ReasonProbe       = "probe"
 	ReasonHeldBack    = "held_back"
+	// ReasonNoRoom: the endpoints that are free have too little room for the task.
+	ReasonNoRoom = "no_room"
 )
 
 // Policy holds the options of Choose.
@@ -82,6 +88,9 @@
 	} else {
 		s.compare(r, c)
 	}
+	if s.best == nil && s.tooSmall {
+		return Choice{Reason: ReasonNoRoom}, false
+	}
 	if s.best == nil {
 		return Choice{}, false
 	}
@@ -114,6 +123,8 @@
 	best, second         *member
 	bestCost, secondCost float64
 	considered           int
+	// tooSmall is true if an endpoint was passed over for want of room.
+	tooSmall bool
 }
 
 func (s *selection) compare(r *rand.Rand, c *class) {
@@ -146,6 +157,10 @@
 	if s.avoid && m.Name == s.query.Avoid {
 		return
 	}
+	if !m.takes(s.query.Size) {
+		s.tooSmall = true
+		return
+	}
 	s.considered++
 	cost := m.cost(s.query.Urgent)
 	switch {
@@ -161,7 +176,7 @@
 // failures count as repeated runs. The load breaks near-ties, because a slot
 // thought free is less certain on a crowded endpoint.
 func (m *member) cost(urgent bool) float64 {
-	crowd := 1 + 0.1*float64(m.used())/float64(m.Slots)
+	crowd := 1 + 0.1*m.crowd()
 	if m.phase == phaseProbing {
 		if urgent {
 			return math.MaxFloat64
--- a/internal/dispatch/placer/member.go
+++ b/internal/dispatch/placer/member.go
@@ -1,6 +1,10 @@
 package placer
 
-import "time"
+import (
+	"time"
+
+	"github.com/burdockrudder/burdockrudder/internal/dispatch/messenger"
+)
 
 // member is an endpoint with everything the index knows about it.
 type member struct {
@@ -12,6 +16,8 @@
 	// outstanding are the tasks of this entry; others those of other entries.
 	outstanding int
 	others      int
+	// taken is the room of this entry's tasks, othersTake that of the others.
+	taken, othersTake messenger.Resources
 	// changed is when a task was last sent or came back.
 	changed time.Time
 
@@ -41,8 +47,42 @@
 
 func (m *member) used() int { return m.outstanding + m.others }
 
+// room is what the endpoint's tasks leave of its capacity.
+func (m *member) room() messenger.Resources {
+	return m.Capacity.Sub(m.taken).Sub(m.othersTake)
+}
+
+// isFull tells whether no task at all is thought to find room.
+func (m *member) isFull() bool {
+	if m.Capacity.IsZero() {
+		return m.used() >= m.Slots
+	}
+	return m.room().MilliCPU <= 0
+}
+
+// takes tells whether a task of the size is thought to find room.
+func (m *member) takes(size messenger.Resources) bool {
+	return m.Capacity.IsZero() || size.Fits(m.room())
+}
+
+// places is how many tasks of the size are thought to find room.
+func (m *member) places(size messenger.Resources) int {
+	if m.Capacity.IsZero() {
+		return m.Slots - m.used()
+	}
+	return m.room().MilliCPU / max(1, size.MilliCPU)
+}
+
+// crowd is the share of the endpoint that is in use.
+func (m *member) crowd() float64 {
+	if m.Capacity.IsZero() {
+		return float64(m.used()) / float64(m.Slots)
+	}
+	return 1 - float64(m.room().MilliCPU)/float64(max(1, m.Capacity.MilliCPU))
+}
+
 func (m *member) hasFreeSlot() bool {
-	if m.blocks != 0 || m.phase == phaseEjected || m.used() >= m.Slots {
+	if m.blocks != 0 || m.phase == phaseEjected || m.isFull() {
 		return false
 	}
 	if m.phase == phaseProbing {
--- a/internal/dispatch/placer/model_test.go
+++ b/internal/dispatch/placer/model_test.go
@@ -142,7 +142,7 @@
 					return
 				}
 				checkChoice(t, x, q, choice)
-				both(func(x *Index) { x.Sent(now, choice.Endpoint, messenger.TaskKey{}) })
+				both(func(x *Index) { x.Sent(now, choice.Endpoint, messenger.Resources{}) })
 			},
 			"": func(t *rapid.T) { check(t, x) },
 		})
--- a/internal/dispatch/placer/placer.go
+++ b/internal/dispatch/placer/placer.go
@@ -19,6 +19,8 @@
 	Labels []string
 	// Slots is how many tasks the endpoint runs at once.
 	Slots int
+	// Capacity, if stated, replaces the slots: tasks take room by their size.
+	Capacity messenger.Resources
 	// QueueLimit is the length of the agent's queue. It absorbs collisions
 	// between entries; Choose never plans to use it.
 	QueueLimit int
@@ -57,6 +59,7 @@
 type Returned struct {
 	RunTime  time.Duration
 	Declared time.Duration
+	Size     messenger.Resources
 	Verdict  Verdict
 }
 
@@ -134,6 +137,7 @@
 		return
 	}
 	m.others = max(0, load.Running+load.Queued-m.outstanding)
+	m.othersTake = load.Taken.Sub(m.taken).Floor()
 	if load.Runs > 0 {
 		m.take(load.Slowness)
 	}
@@ -173,13 +177,14 @@
 }
 
 // Sent records that a task was sent to the endpoint.
-func (x *Index) Sent(now time.Time, name string, _ messenger.TaskKey) {
+func (x *Index) Sent(now time.Time, name string, size messenger.Resources) {
 	x.advance(now)
 	m, known := x.members[name]
 	if !known {
 		return
 	}
 	m.outstanding++
+	m.taken = m.taken.Add(size)
 	m.changed = now
 	if m.phase == phaseProbing {
 		m.probeSent = true
@@ -195,6 +200,7 @@
 		return
 	}
 	m.outstanding = max(0, m.outstanding-1)
+	m.taken = m.taken.Sub(result.Size).Floor()
 	m.changed = now
 	switch result.Verdict {
 	case Succeeded:
--- a/internal/dispatch/placer/scenario_test.go
+++ b/internal/dispatch/placer/scenario_test.go
@@ -10,7 +10,7 @@
 	"github.com/burdockrudder/burdockrudder/internal/dispatch/messenger"
 )
 
-var anyTask = messenger.TaskKey{}
+var anyTask = messenger.Resources{}
 
 // fleet returns an index of n endpoints that have ramped up, spread over three
 // failure domains, and the time.
--- a/internal/dispatch/placer/simulation_test.go
+++ b/internal/dispatch/placer/simulation_test.go
@@ -236,7 +236,7 @@
 	if _, err := fmt.Sscan(item.Task.Submission.ID, &job); err != nil {
 		panic(err)
 	}
-	s.index.Sent(s.clock(), fmt.Sprint(e), item.Task)
+	s.index.Sent(s.clock(), fmt.Sprint(e), messenger.Resources{})
 	s.add(s.now+s.jobs[job].work[item.Task.Index]*slowOf(e), simTask{job, item.Task.Index}, e)
 	return limiter.Take
 }
--- a/internal/edge/caller/client.go
+++ b/internal/edge/caller/client.go
@@ -252,7 +252,7 @@
 		return true
 	}
 	switch fault.Code {
-	case translator.CodeNotRun, translator.CodeQuota, translator.CodeNeverRunnable:
+	case translator.CodeNotRun, translator.CodeQuota, translator.CodeOverloaded, translator.CodeNeverRunnable:
 		return true
 	default:
 		return false
--- /dev/null
+++ b/internal/edge/supervisor/calls.go
@@ -0,0 +1,124 @@
+package supervisor
+
+import (
+	"time"
+
+	"github.com/burdockrudder/burdockrudder/internal/dispatch/messenger"
+)
+
+// until is the end of a lease that is renewed now, by the endpoint's clock.
+func (s *State) until() time.Duration {
+	return s.clock + s.now.Sub(s.clockAt) + s.Lease
+}
+
+// renews notes that a call is sent that renews the lease, if it arrives.
+func (s *State) renews() {
+	s.lapsesAt = s.now.Add(s.untilLapsed())
+}
+
+func (s *State) invoke(e Invoke) {
+	r := &run{Run: e.Run, task: e.Task}
+	s.runs[e.Run] = r
+	if !s.clean || s.clockAt.IsZero() {
+		s.end(r, messenger.TaskOutcome{State: messenger.TaskNotRun, Reason: "the endpoint is not being followed"})
+		return
+	}
+	s.renews()
+	s.emit(CallStart{Start: Start{Boot: s.Boot, Run: e.Run, Payload: e.Payload, Until: s.until(), Token: s.Token}})
+}
+
+func (s *State) startAnswered(e StartAnswered) {
+	r := s.runs[e.Run]
+	if r == nil {
+		return
+	}
+	switch {
+	case e.NoAnswer && r.phase == ordered:
+		r.phase = doubted
+		r.doubtedAt = s.now
+		s.emit(Noted{Message: "start got no answer", Run: r.Run})
+		s.look()
+	case e.NoAnswer:
+	case e.Refusal != "":
+		s.raiseToken(e.Refusal)
+		if !r.seen {
+			s.end(r, messenger.TaskOutcome{State: messenger.TaskNotRun, Reason: "the endpoint refused: " + string(e.Refusal)})
+		}
+	default:
+		s.started(r)
+	}
+}
+
+// started notes that the endpoint runs r.
+func (s *State) started(r *run) {
+	if !r.seen {
+		r.seen = true
+		r.startedAt = s.now
+	}
+	if r.phase == ordered || r.phase == doubted {
+		r.phase = running
+	}
+}
+
+// stop asks the endpoint to end a run, and to refuse it if it has not started.
+func (s *State) stop(r *run) {
+	if r.phase == stopping {
+		return
+	}
+	r.phase = stopping
+	s.sendStop(r)
+}
+
+func (s *State) sendStop(r *run) {
+	r.stopAt = s.now
+	r.stopSent = true
+	s.emit(CallStop{Stop: Stop{Boot: s.Boot, Run: r.Run, Token: s.Token}})
+}
+
+func (s *State) stopAnswered(e StopAnswered) {
+	r := s.runs[e.Run]
+	if r == nil {
+		return
+	}
+	r.stopSent = false
+	if e.NoAnswer || e.Refusal != "" {
+		s.raiseToken(e.Refusal)
+		return
+	}
+	r.stoppedAt = s.now
+	s.look()
+}
+
+// raiseToken answers an endpoint that has seen a higher token.
+func (s *State) raiseToken(refusal Refusal) {
+	if refusal == RefusedFence {
+		s.Token += tokenStep
+		s.emit(Noted{Message: "token raised", Reason: string(refusal)})
+	}
+}
+
+// look asks for the lists without waiting for an end.
+func (s *State) look() {
+	s.hold(0)
+}
+
+// keepHolding keeps one hold on its way, which waits for the next end.
+func (s *State) keepHolding() {
+	if len(s.holds) == 0 && !s.now.Before(s.nextHold) && s.Boot.Address != "" {
+		s.hold(holdWait)
+	}
+}
+
+func (s *State) hold(wait time.Duration) {
+	s.calls++
+	s.holds[s.calls] = s.now
+	h := Hold{Boot: s.Boot, Token: s.Token, Observed: s.observed, Wait: wait}
+	if !s.clockAt.IsZero() && s.now.Sub(s.answeredAt) < answerPatience {
+		h.Until = s.until()
+		s.renews()
+	}
+	if s.clockAt.IsZero() {
+		h.Wait = 0
+	}
+	s.emit(CallHold{Call: s.calls, Hold: h})
+}
--- /dev/null
+++ b/internal/edge/supervisor/lists.go
@@ -0,0 +1,124 @@
+package supervisor
+
+import (
+	"time"
+
+	"github.com/burdockrudder/burdockrudder/internal/dispatch/messenger"
+)
+
+// holdAnswered takes the lists of runs and ends.
+func (s *State) holdAnswered(e HoldAnswered) {
+	sentAt, known := s.holds[e.Call]
+	if !known {
+		// Of a former boot.
+		return
+	}
+	delete(s.holds, e.Call)
+	if e.NoAnswer || e.Refusal != "" {
+		s.raiseToken(e.Refusal)
+		s.nextHold = s.now.Add(holdPause)
+		return
+	}
+	if e.Lists.Born < s.Boot.Born {
+		return
+	}
+	if s.Boot.Born != 0 && e.Lists.Born > s.Boot.Born {
+		s.rebooted(e.Lists.Born)
+	}
+	s.Boot.Born = e.Lists.Born
+	s.answeredAt = s.now
+	s.clock, s.clockAt = e.Lists.Clock, s.now
+	s.takeEnds(e.Lists.Ended)
+	s.takeRunning(e.Lists.Running)
+	s.takeAbsent(e.Lists.Running, sentAt)
+	s.becomeClean()
+}
+
+func (s *State) takeEnds(ends []End) {
+	for _, end := range ends {
+		if end.Number <= s.observed {
+			continue
+		}
+		s.observed = end.Number
+		delete(s.strays, end.Run)
+		if r := s.runs[end.Run]; r != nil {
+			s.end(r, outcomeOf(end.Kind))
+		}
+	}
+}
+
+func outcomeOf(kind EndKind) messenger.TaskOutcome {
+	switch kind {
+	case EndDone:
+		return messenger.TaskOutcome{State: messenger.TaskSucceeded}
+	case EndFailed:
+		return messenger.TaskOutcome{State: messenger.TaskFailed, Reason: "the endpoint reports a failure"}
+	case EndStopped, EndLapsed, EndOther:
+	}
+	return messenger.TaskOutcome{State: messenger.TaskInterrupted, Reason: "the run ended: " + string(kind)}
+}
+
+// takeRunning notes the runs that have started, and ends those that this process
+// has not ordered.
+func (s *State) takeRunning(runs []Run) {
+	for _, name := range runs {
+		if r := s.runs[name]; r != nil {
+			s.started(r)
+			continue
+		}
+		if at, sent := s.strays[name]; sent && s.now.Sub(at) < repeatAfter {
+			continue
+		}
+		s.strays[name] = s.now
+		s.emit(Noted{Message: "run that was not ordered is stopped", Run: name})
+		s.emit(CallStop{Stop: Stop{Boot: s.Boot, Run: name, Token: s.Token}})
+	}
+}
+
+// takeAbsent draws conclusions about the runs that the lists don't hold. Only
+// lists that were asked for after the fact prove anything.
+func (s *State) takeAbsent(running []Run, sentAt time.Time) {
+	listed := make(map[Run]bool, len(running))
+	for _, name := range running {
+		listed[name] = true
+	}
+	for _, r := range s.sortedRuns() {
+		if !listed[r.Run] {
+			s.absent(r, sentAt)
+		}
+	}
+}
+
+func (s *State) absent(r *run, sentAt time.Time) {
+	switch r.phase {
+	case ordered:
+		// The start is on its way.
+	case doubted:
+		if sentAt.After(r.doubtedAt) {
+			s.stop(r)
+		}
+	case running:
+		if sentAt.After(r.startedAt) {
+			s.emit(Noted{Message: "run has vanished", Run: r.Run})
+			s.stop(r)
+		}
+	case stopping:
+		if r.stoppedAt.IsZero() || !sentAt.After(r.stoppedAt) {
+			return
+		}
+		outcome := messenger.TaskOutcome{State: messenger.TaskNotRun, Reason: "stopped before it started"}
+		if r.seen {
+			outcome = messenger.TaskOutcome{State: messenger.TaskInterrupted, Reason: "stopped"}
+		}
+		s.end(r, outcome)
+	}
+}
+
+// becomeClean reports the endpoint as ready once only ordered runs are there.
+func (s *State) becomeClean() {
+	if s.clean || len(s.strays) > 0 {
+		return
+	}
+	s.clean = true
+	s.emit(Ready{Boot: s.Boot})
+}
--- /dev/null
+++ b/internal/edge/supervisor/state.go
@@ -0,0 +1,246 @@
+package supervisor
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/burdockrudder/burdockrudder/internal/dispatch/messenger"
+)
+
+const (
+	// DefaultLease is the longest lease that endpoints grant.
+	DefaultLease = time.Second
+	// holdWait is how long a hold waits for an end. Three in a row may be lost
+	// before the lease lapses.
+	holdWait = 250 * time.Millisecond
+	// answerPatience is the time without an answer after which the lease is no
+	// longer renewed, so that it lapses at a known time.
+	answerPatience = 600 * time.Millisecond
+	// clockDrift bounds how much slower an endpoint's clock may be, in percent.
+	clockDrift = 2
+	// lapseMargin covers the stop of the runs after the lease, and the difference
+	// between the reading of a clock and its arrival.
+	lapseMargin = 60 * time.Millisecond
+	// repeatAfter is the wait before a stop without an answer is sent again.
+	repeatAfter = 50 * time.Millisecond
+	// holdPause is the wait before the next hold after one without an answer.
+	holdPause = 30 * time.Millisecond
+	// tokenStep raises the token when the endpoint has seen a higher one.
+	tokenStep = 60_000
+)
+
+// State follows one endpoint. Its exported fields are set before the first
+// Handle. The time passed to Handle must not count times in which this host was
+// suspended, since the endpoint's clock may not count them either.
+type State struct {
+	// Token is the first token. It exceeds those of earlier lives of the agent.
+	Token uint64
+	// Lease is the longest lease; zero means DefaultLease.
+	Lease time.Duration
+	// Boot is what is known of the endpoint before it announces itself.
+	Boot Boot
+
+	now       time.Time
+	effects   []Effect
+	startedAt time.Time
+
+	// clock is the endpoint's clock as read at clockAt.
+	clock   time.Duration
+	clockAt time.Time
+	// answeredAt is when the endpoint last answered a hold.
+	answeredAt time.Time
+	// lapsesAt is when everything at the endpoint has surely ended, if no further
+	// call renews the lease.
+	lapsesAt time.Time
+	// clean is true once nothing unknown runs at the endpoint.
+	clean    bool
+	observed int
+	runs     map[Run]*run
+	// strays are runs that this process has not ordered, or has given up.
+	strays map[Run]time.Time
+
+	calls    uint64
+	holds    map[uint64]time.Time
+	nextHold time.Time
+}
+
+// phase is where a run is on its way.
+type phase uint8
+
+const (
+	// ordered: the start has been sent and not been answered.
+	ordered phase = iota
+	// doubted: the start got no answer.
+	doubted
+	running
+	// stopping: a stop has been sent.
+	stopping
+)
+
+type run struct {
+	Run
+	task  messenger.TaskKey
+	phase phase
+	// seen is true once the endpoint has said that the run has started.
+	seen      bool
+	startedAt time.Time
+	doubtedAt time.Time
+	stopAt    time.Time
+	// stopSent is true while a stop has not been answered.
+	stopSent bool
+	// stoppedAt is when a stop was acknowledged.
+	stoppedAt time.Time
+}
+
+// Handle applies one event and returns the effects in order.
+func (s *State) Handle(now time.Time, event Event) []Effect {
+	s.prepare(now)
+	s.now = now
+	s.effects = nil
+	switch e := event.(type) {
+	case Tick:
+		s.tick()
+	case Announced:
+		s.announced(e.Boot)
+	case Invoke:
+		s.invoke(e)
+	case Abort:
+		if r := s.runs[e.Run]; r != nil {
+			s.stop(r)
+		}
+	case StartAnswered:
+		s.startAnswered(e)
+	case StopAnswered:
+		s.stopAnswered(e)
+	case HoldAnswered:
+		s.holdAnswered(e)
+	}
+	s.keepHolding()
+	return s.effects
+}
+
+func (s *State) prepare(now time.Time) {
+	if s.runs != nil {
+		return
+	}
+	if s.Lease == 0 {
+		s.Lease = DefaultLease
+	}
+	s.runs = make(map[Run]*run)
+	s.strays = make(map[Run]time.Time)
+	s.holds = make(map[uint64]time.Time)
+	s.startedAt = now
+	// What an earlier life of this process ordered lapses within one lease.
+	s.now = now
+	s.lapsesAt = now.Add(s.untilLapsed())
+}
+
+// untilLapsed is how long after a renewal everything has surely ended.
+func (s *State) untilLapsed() time.Duration {
+	return s.Lease + s.Lease*clockDrift/100 + lapseMargin
+}
+
+func (s *State) emit(effect Effect) {
+	s.effects = append(s.effects, effect)
+}
+
+// Following tells whether the endpoint answers and nothing unknown runs there.
+func (s *State) Following() bool {
+	return s.clean && s.now.Sub(s.answeredAt) < answerPatience
+}
+
+// FormerLifeOver tells whether nothing runs any more that an earlier life of this
+// process has ordered.
+func (s *State) FormerLifeOver() bool {
+	return s.clean || s.now.Sub(s.startedAt) > s.untilLapsed()
+}
+
+func (s *State) tick() {
+	if !s.lapsesAt.IsZero() && s.now.After(s.lapsesAt) {
+		s.lapsed()
+	}
+	for _, r := range s.sortedRuns() {
+		if r.phase == stopping && !r.stopSent && r.stoppedAt.IsZero() && s.now.Sub(r.stopAt) >= repeatAfter {
+			s.sendStop(r)
+		}
+	}
+	for run, at := range s.strays {
+		if s.now.Sub(at) > s.untilLapsed() {
+			delete(s.strays, run)
+		}
+	}
+}
+
+// lapsed ends what was ordered: the lease is over by any clock.
+func (s *State) lapsed() {
+	s.lapsesAt = time.Time{}
+	if len(s.runs) > 0 || s.clean {
+		s.emit(Noted{Message: "endpoint lease has lapsed", Age: s.now.Sub(s.answeredAt)})
+	}
+	s.endAll("the lease of the endpoint has lapsed")
+	if s.clean {
+		s.clean = false
+		s.emit(Unready{Reason: "the endpoint does not answer"})
+	}
+}
+
+// endAll reports every run as interrupted. The caller has proof.
+func (s *State) endAll(reason string) {
+	for _, r := range s.sortedRuns() {
+		s.end(r, messenger.TaskOutcome{State: messenger.TaskInterrupted, Reason: reason})
+	}
+}
+
+func (s *State) sortedRuns() []*run {
+	runs := make([]*run, 0, len(s.runs))
+	for _, r := range s.runs {
+		runs = append(runs, r)
+	}
+	slices.SortFunc(runs, func(a, b *run) int { return compareRuns(a.Run, b.Run) })
+	return runs
+}
+
+func compareRuns(a, b Run) int {
+	return cmp.Or(
+		cmp.Compare(a.Job, b.Job),
+		cmp.Compare(a.Position.Step, b.Position.Step),
+		cmp.Compare(a.Position.Index, b.Position.Index),
+		cmp.Compare(a.Number, b.Number),
+	)
+}
+
+func (s *State) end(r *run, outcome messenger.TaskOutcome) {
+	delete(s.runs, r.Run)
+	var runTime time.Duration
+	if !r.startedAt.IsZero() {
+		runTime = s.now.Sub(r.startedAt)
+	}
+	s.emit(Ended{Task: r.task, Run: r.Run, Outcome: outcome, RunTime: runTime})
+}
+
+// announced notes which boot the endpoint is in now.
+func (s *State) announced(boot Boot) {
+	if boot.Born < s.Boot.Born {
+		s.emit(Noted{Message: "announcement of a former boot ignored", Reason: boot.ID})
+		return
+	}
+	if s.Boot.Born != 0 && boot.Born > s.Boot.Born {
+		s.rebooted(boot.Born)
+	}
+	s.Boot = boot
+}
+
+// rebooted ends what ran in the former boot.
+func (s *State) rebooted(born int64) {
+	s.emit(Noted{Message: "endpoint has restarted", Reason: s.Boot.ID})
+	s.endAll("the endpoint has restarted")
+	s.Boot.Born = born
+	s.observed = 0
+	s.clean = false
+	s.clockAt = time.Time{}
+	clear(s.strays)
+	clear(s.holds)
+	s.nextHold = s.now
+	s.emit(Unready{Reason: "the endpoint has restarted"})
+}
--- a/internal/edge/translator/errors.go
+++ b/internal/edge/translator/errors.go
@@ -18,6 +18,7 @@
 	CodeIDConflict     = Code(messenger.CodeConflict)
 	CodeNotFound       = Code(messenger.CodeNotFound)
 	CodeQuota          = Code(messenger.CodeQuota)
+	CodeOverloaded     = Code(messenger.CodeOverloaded)
 	CodeInProgress     = Code(messenger.CodeInProgress)
 )
 
@@ -47,6 +48,7 @@
 	CodeIDConflict:       http.StatusConflict,
 	CodeNotFound:         http.StatusNotFound,
 	CodeQuota:            http.StatusTooManyRequests,
+	CodeOverloaded:       http.StatusServiceUnavailable,
 	CodeInProgress:       http.StatusAccepted,
 	CodeBadRequest:       http.StatusBadRequest,
 	CodeUnauthorized:     http.StatusUnauthorized,
--- a/internal/settings/parser/tree.go
+++ b/internal/settings/parser/tree.go
@@ -71,6 +71,7 @@
 func (c treeCheck) firm(at path, firm resolver.Firm, above inherited) {
 	force := c.settings(at, LevelFirm, firm.Settings, above)
 	each(c, at.child("teams"), firm.Teams, c.team)
+	each(c, at.child("queues"), firm.Queues, c.queue)
 	each(c, at.child("places"), firm.Places, func(at path, place resolver.Place) { c.place(at, place, force) })
 }
 
@@ -88,6 +89,15 @@
 	})
 }
 
+func (c treeCheck) queue(at path, queue resolver.Queue) {
+	c.require(at.child("service"))
+	inRange(c, at.child("priority"), &queue.Priority, messenger.PriorityLow, messenger.PriorityHigh)
+	inRange(c, at.child("max_attempts"), &queue.MaxAttempts, 0, noMaximum)
+	inRange(c, at.child("stretch_factor"), &queue.StretchFactor, 0, math.MaxFloat64)
+	inRange(c, at.child("target_latency"), &queue.TargetLatency, 0, noMaximum)
+	inRange(c, at.child("timeout"), &queue.Timeout, 0, maxDeadline)
+}
+
 func (c treeCheck) team(at path, team resolver.Team) {
 	c.require(at.child("weight"))
 	inRange(c, at.child("weight"), &team.Weight, 1, noMaximum)
@@ -169,7 +179,7 @@
 }
 
 // inRange reports a value that is set and out of its range.
-func inRange[T int | float64 | resolver.Duration](c treeCheck, at path, value *T, low, high T) {
+func inRange[T int | float64 | resolver.Duration | messenger.Priority](c treeCheck, at path, value *T, low, high T) {
 	switch {
 	case value == nil || *value >= low && *value <= high:
 	case *value < 0:
--- a/internal/settings/resolver/tree.go
+++ b/internal/settings/resolver/tree.go
@@ -1,5 +1,7 @@
 package resolver
 
+import "github.com/burdockrudder/burdockrudder/internal/dispatch/messenger"
+
 // Tree is the whole of the operators' settings.
 type Tree struct {
 	Firms map[string]Firm `json:"firms"`
@@ -11,6 +13,29 @@
 	Keys     []Key            `json:"keys,omitempty"`
 	Teams    map[string]Team  `json:"teams,omitempty"`
 	Places   map[string]Place `json:"places,omitempty"`
+	// Queues are named ways in, each to one service.
+	Queues map[string]Queue `json:"queues,omitempty"`
+}
+
+// Queue is a way in for jobs: where callers hand them in, and how they are served.
+type Queue struct {
+	// Service names the endpoints that run the tasks.
+	Service string `json:"service"`
+	// Host and PathPrefix select the queue; the longest prefix wins.
+	Host       string `json:"host,omitempty"`
+	PathPrefix string `json:"path_prefix,omitempty"`
+	// Priority is that of the queue's jobs.
+	Priority messenger.Priority `json:"priority,omitempty"`
+	// MaxAttempts is how often a task may fail before its job does.
+	MaxAttempts int `json:"max_attempts,omitempty"`
+	// StretchFactor and TargetLatency state the latency objective: that many times
+	// the run time of the longest chain of tasks, and the latency more.
+	StretchFactor float64  `json:"stretch_factor,omitempty"`
+	TargetLatency Duration `json:"target_latency,omitempty"`
+	// Advised queues need the advice of another service for each step; they are not served.
+	Advised bool `json:"advised,omitempty"`
+	// Timeout bounds a call; 0 means the service's default deadline.
+	Timeout Duration `json:"timeout,omitempty"`
 }
 
 // Place is a site of a firm.
--- a/internal/storage/leaser/directory.go
+++ b/internal/storage/leaser/directory.go
@@ -1,6 +1,7 @@
 package leaser
 
 import (
+	"context"
 	"fmt"
 	"time"
 
@@ -55,6 +56,22 @@
 	return entries, stale
 }
 
+// Directory reads the rows of all entries. Rows that cannot be decoded are left
+// out; the entries that wrote them are of another version.
+func Directory(ctx context.Context, table storer.Table) ([]coordinator.EntryRow, error) {
+	rows, err := table.Scan(ctx, Prefix)
+	if err != nil {
+		return nil, fmt.Errorf("read directory: %w", err)
+	}
+	var entries []coordinator.EntryRow
+	for _, row := range rows {
+		if entry, err := decode(row); err == nil {
+			entries = append(entries, entry)
+		}
+	}
+	return entries, nil
+}
+
 func decode(row storer.Row) (coordinator.EntryRow, error) {
 	var entry coordinator.EntryRow
 	if err := cbor.Unmarshal(row.Value, &entry); err != nil {
--- a/internal/transport/authenticator/authenticator.go
+++ b/internal/transport/authenticator/authenticator.go
@@ -68,7 +68,11 @@
 	if len(state.VerifiedChains) == 0 {
 		return Identity{}, errors.New("peer has no verified certificate")
 	}
-	subject := state.VerifiedChains[0][0].Subject
+	return identityOf(state.VerifiedChains[0][0])
+}
+
+func identityOf(certificate *x509.Certificate) (Identity, error) {
+	subject := certificate.Subject
 	if subject.CommonName == "" || len(subject.OrganizationalUnit) != 1 {
 		return Identity{}, errors.New("peer certificate lacks a name or a role")
 	}
--- a/internal/transport/linker/acceptor.go
+++ b/internal/transport/linker/acceptor.go
@@ -82,7 +82,7 @@
 	if err != nil {
 		return err
 	}
-	if err := verifyPeer(conn, hello); err != nil {
+	if err := t.verifyPeer(conn, hello); err != nil {
 		return err
 	}
 	l.peer = hello
--- a/internal/transport/linker/dialer.go
+++ b/internal/transport/linker/dialer.go
@@ -277,7 +277,7 @@
 		return err
 	}
 	l.peer = messenger.Hello{Role: messenger.RoleEntry, Name: welcome.Name, Incarnation: welcome.Incarnation}
-	if err := verifyPeer(conn, l.peer); err != nil {
+	if err := d.transport.verifyPeer(conn, l.peer); err != nil {
 		return err
 	}
 	if !dials(own, welcome.Name) {
--- a/internal/transport/linker/linker.go
+++ b/internal/transport/linker/linker.go
@@ -18,6 +18,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/burdockrudder/burdockrudder/internal/dispatch/messenger"
+	"github.com/burdockrudder/burdockrudder/internal/transport/authenticator"
 )
 
 // The defaults of the fields of Transport.
@@ -56,6 +57,9 @@
 	// TLS comes from the authenticator package.
 	TLS     *tls.Config
 	Handler Handler
+	// Identify reads the peer's identity off a connection; nil means the verified
+	// certificate. It replaces that where the links do not authenticate.
+	Identify func(tls.ConnectionState) (authenticator.Identity, error)
 	// Logger and Metrics are optional.
 	Logger  *zap.Logger
 	Metrics tally.Scope
@@ -90,6 +94,9 @@
 		if t.Logger == nil {
 			t.Logger = zap.NewNop()
 		}
+		if t.Identify == nil {
+			t.Identify = authenticator.PeerIdentity
+		}
 		if t.Metrics == nil {
 			t.Metrics = tally.NoopScope
 		}
--- a/internal/transport/linker/wire.go
+++ b/internal/transport/linker/wire.go
@@ -121,11 +121,11 @@
 
 // verifyPeer checks a hello, or what is known of a peer from its welcome,
 // against the certificate of the connection.
-func verifyPeer(conn *quic.Conn, peer messenger.Hello) error {
+func (t *Transport) verifyPeer(conn *quic.Conn, peer messenger.Hello) error {
 	if err := checkHello(peer); err != nil {
 		return err
 	}
-	identity, err := authenticator.PeerIdentity(conn.ConnectionState().TLS)
+	identity, err := t.Identify(conn.ConnectionState().TLS)
 	if err != nil {
 		return err
 	}
