--- a/internal/dispatch/coordinator/drain.go
+++ b/internal/dispatch/coordinator/drain.go
@@ -55,6 +55,9 @@
 // are asked back, and waiters for other owners are told that nothing is known.
 func (s *State) endDrain() {
 	for _, j := range s.sortedJobs(func(messenger.SubmissionKey) bool { return true }) {
+		if j.lifeCycle.Is(jobRunning) && j.submission.Volatile {
+			s.giveUp(j, "the entry stops")
+		}
 		if j.lifeCycle.Is(jobRunning) && j.stopReason == "" {
 			s.stop(j, "the entry stops")
 			s.cancelSent(j)
--- a/internal/dispatch/coordinator/results.go
+++ b/internal/dispatch/coordinator/results.go
@@ -139,8 +139,8 @@
 	j.open--
 	s.countResult(t)
 	if outcome.State != messenger.TaskSucceeded && j.stopReason == "" {
+		s.endVolatile(t)
 		s.stop(j, "another task of the job did not succeed")
-		s.endVolatile(j)
 	}
 	s.stepAdvanced(t)
 	if j.open == 0 && j.lifeCycle.Is(jobRunning) {
--- a/internal/dispatch/coordinator/volatile.go
+++ b/internal/dispatch/coordinator/volatile.go
@@ -137,12 +137,18 @@
 	return true
 }
 
-// endVolatile answers a volatile job whose outcome is known to be a failure, and
-// ends what still runs of it.
-func (s *State) endVolatile(j *job) {
+// endVolatile answers a volatile job of which a task was not done, and ends what
+// still runs of it. The job has failed only if the task has used up its attempts;
+// one that could not be placed again in time is given up.
+func (s *State) endVolatile(t *task) {
+	j := t.job
 	if !j.submission.Volatile || j.givenUp {
 		return
 	}
+	if t.outcome.State != messenger.TaskFailed {
+		s.giveUp(j, "a task could not run again in time: "+t.outcome.Reason)
+		return
+	}
 	j.outcome = outcomeOf(j)
 	for i := range j.outcome.Tasks {
 		if j.outcome.Tasks[i].State == "" {
@@ -157,6 +163,10 @@
 func (s *State) settleVolatile(j *job) {
 	step(j.lifeCycle, eventSettle)
 	j.settledAt = s.now
+	if !j.told && j.outcome.Status == messenger.OutcomeFailed {
+		// It was stopped from here: no task has used up its attempts.
+		s.giveUp(j, j.stopReason)
+	}
 	if j.givenUp {
 		s.closeGivenUp(j)
 		return
