--- a/internal/dispatch/coordinator/dispatch.go
+++ b/internal/dispatch/coordinator/dispatch.go
@@ -145,6 +145,7 @@
 		Declared: t.job.submission.Tasks[t.index].DeclaredRunTime,
 		Size:     t.job.submission.Tasks[t.index].Size,
 		Avoid:    avoid,
+		Failed:   t.failedAt,
 		Waiting:  place,
 		Ahead:    s.ahead(c, s.item(t)),
 		Urgent:   t.job.submission.Priority == messenger.PriorityHigh,
@@ -155,7 +156,7 @@
 func (s *State) sendCopy(t *task, attempt int, choice placer.Choice, kind DecisionKind) {
 	a := s.agents[choice.Endpoint]
 	t.phase = taskSent
-	t.copies = append(t.copies, copySent{attempt: attempt, agent: a, at: s.now})
+	t.copies = append(t.copies, copySent{attempt: attempt, agent: a, at: s.now, overdueAt: s.overdueAt(t, a)})
 	a.sent[copyKey{task: t.key(), attempt: attempt}] = t
 	s.index.Sent(s.now, a.name, t.job.submission.Tasks[t.index].Size)
 	s.teams.Started(t.job.submission.Key.Firm, t.job.submission.Team)
--- a/internal/dispatch/coordinator/effects.go
+++ b/internal/dispatch/coordinator/effects.go
@@ -105,6 +105,7 @@
 	DecisionTakeover DecisionKind = "takeover"
 	DecisionEject    DecisionKind = "eject"
 	DecisionProbe    DecisionKind = "probe"
+	DecisionOverdue  DecisionKind = "overdue"
 )
 
 // Drained says that the graceful stop is complete.
--- a/internal/dispatch/coordinator/job.go
+++ b/internal/dispatch/coordinator/job.go
@@ -76,6 +76,8 @@
 	hedged  bool
 	// failures counts the failed attempts of a volatile task.
 	failures int
+	// failedAt names the endpoints where it has failed or hung.
+	failedAt []string
 }
 
 // copySent is one attempt that an agent has been asked to start and has not
@@ -85,6 +87,9 @@
 	agent      *agent
 	at         time.Time
 	cancelSent bool
+	// overdueAt is when a volatile task is taken for stuck at its endpoint.
+	overdueAt time.Time
+	overdue   bool
 }
 
 func (t *task) key() messenger.TaskKey {
--- a/internal/dispatch/coordinator/members.go
+++ b/internal/dispatch/coordinator/members.go
@@ -16,6 +16,8 @@
 	incarnation messenger.Incarnation
 	hello       messenger.Hello
 	heardAt     time.Time
+	// succeededAt is when a task of this entry was last done there.
+	succeededAt time.Time
 	// sequence is that of the last report; starts and statuses echo it.
 	sequence        uint64
 	load            messenger.EndpointLoad
--- a/internal/dispatch/coordinator/results.go
+++ b/internal/dispatch/coordinator/results.go
@@ -21,6 +21,13 @@
 	case messenger.TaskMayHaveRun, messenger.TaskNotRun, messenger.TaskInterrupted:
 		verdict = placer.Lost
 	case messenger.TaskSucceeded:
+		s.succeededAt(from)
+	}
+	if s.tookTooLong(t, m) {
+		verdict = placer.Failed
+	}
+	if verdict == placer.Failed {
+		t.failedAt = append(t.failedAt, s.endpointOf(from))
 	}
 	taken := s.takeCopy(t, m.Attempt, from, placer.Returned{RunTime: m.RunTime, Verdict: verdict})
 	s.toldLoad(from, m.Load)
@@ -32,6 +39,19 @@
 	}
 }
 
+func (s *State) succeededAt(from messenger.Incarnation) {
+	if a := s.agentOf[from]; a != nil {
+		a.succeededAt = s.now
+	}
+}
+
+func (s *State) endpointOf(from messenger.Incarnation) string {
+	if a := s.agentOf[from]; a != nil {
+		return a.name
+	}
+	return ""
+}
+
 // retry places a repeatable task again after a failed attempt. It returns true
 // if the task is not to be finished now.
 func (s *State) retry(t *task, failed messenger.TaskOutcome) bool {
--- a/internal/dispatch/coordinator/script_verbs_test.go
+++ b/internal/dispatch/coordinator/script_verbs_test.go
@@ -143,6 +143,8 @@
 			Payload: make([]byte, step.Int(d.t, "payload", 0)),
 			Labels:  strings.FieldsFunc(step.Text("labels", ""), isComma),
 			Size:    messenger.Resources{MilliCPU: step.Int(d.t, "milli", 0)},
+
+			DeclaredRunTime: step.Duration(d.t, "runs", 0),
 		})
 	}
 	if step.Has("chain") {
--- a/internal/dispatch/coordinator/snapshot.go
+++ b/internal/dispatch/coordinator/snapshot.go
@@ -56,6 +56,8 @@
 	Cancels       uint64 `json:"cancels"`
 	Retries       uint64 `json:"retries"`
 	Hedges        uint64 `json:"hedges"`
+	// Overdue counts the runs that were ended because they took too long.
+	Overdue uint64 `json:"overdue,omitempty"`
 	Takeovers     uint64 `json:"takeovers"`
 	Forwards      uint64 `json:"forwards"`
 	Ejections     uint64 `json:"ejections"`
--- a/internal/dispatch/coordinator/state.go
+++ b/internal/dispatch/coordinator/state.go
@@ -70,6 +70,7 @@
 	settlingStale bool
 	settled       []*job
 	hedgeable     []*job
+	overdueLooked time.Time
 	storeDown     bool
 	lookups       map[messenger.SubmissionKey][]lookup
 
--- a/internal/dispatch/coordinator/tick.go
+++ b/internal/dispatch/coordinator/tick.go
@@ -7,6 +7,7 @@
 	s.expireDeadlines()
 	s.settlingTick()
 	s.hedge()
+	s.moveOverdue()
 	s.watchRemotes()
 	s.expireCancels()
 	s.expireTickets()
--- a/internal/dispatch/placer/choose.go
+++ b/internal/dispatch/placer/choose.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/burdockrudder/burdockrudder/internal/dispatch/messenger"
@@ -24,6 +25,9 @@
 	Size messenger.Resources
 	// Avoid names an endpoint to use only if no other of the class is open.
 	Avoid string
+	// Failed names endpoints where the task has failed. It waits for another one
+	// while there is one.
+	Failed []string
 	// Urgent tasks are not used to probe an ejected endpoint.
 	Urgent bool
 	// Waiting is the place of the task among those that wait for a faster
@@ -94,6 +98,9 @@
 	if s.best == nil {
 		return Choice{}, false
 	}
+	if s.best.hasFailed(q.Failed) && c.hasOther(q.Failed) {
+		return Choice{Reason: ReasonHeldBack, Considered: s.considered}, false
+	}
 	if x.Policy.HoldBack && q.Waiting > 0 && x.worthWaiting(now, r, c, &s) {
 		return Choice{Reason: ReasonHeldBack, Considered: s.considered}, false
 	}
@@ -163,6 +170,9 @@
 	}
 	s.considered++
 	cost := m.cost(s.query.Urgent)
+	if m.hasFailed(s.query.Failed) {
+		cost = math.MaxFloat64
+	}
 	switch {
 	case s.best == nil || cost < s.bestCost:
 		s.second, s.secondCost = s.best, s.bestCost
@@ -172,6 +182,22 @@
 	}
 }
 
+// hasFailed tells whether the task has failed at this endpoint before.
+func (m *member) hasFailed(failed []string) bool {
+	return slices.Contains(failed, m.Name)
+}
+
+// hasOther tells whether the class has an open endpoint where the task has not
+// failed yet.
+func (c *class) hasOther(failed []string) bool {
+	for _, m := range c.members {
+		if m.open && !m.hasFailed(failed) {
+			return true
+		}
+	}
+	return false
+}
+
 // cost is the expected finish relative to an endpoint of mean speed. Recent
 // failures count as repeated runs. The load breaks near-ties, because a slot
 // thought free is less certain on a crowded endpoint.
--- a/internal/dispatch/placer/speed.go
+++ b/internal/dispatch/placer/speed.go
@@ -90,6 +90,15 @@
 	return time.Duration(math.Exp(p.expected(declared).log) * float64(time.Second))
 }
 
+// Factor returns the run time at an endpoint relative to one of mean speed, and 1
+// for an unknown endpoint.
+func (x *Index) Factor(name string) float64 {
+	if m, known := x.members[name]; known {
+		return m.factor
+	}
+	return 1
+}
+
 func (p *pool) learn(m *member, run, declared time.Duration) {
 	if run <= 0 {
 		return
