--- a/internal/dispatch/coordinator/objective.go
+++ b/internal/dispatch/coordinator/objective.go
@@ -70,8 +70,13 @@
 	}
 	var delay time.Duration
 	for i := range j.tasks {
-		c := s.classOf(j, j.submission.Tasks[i].Labels)
+		spec := &j.submission.Tasks[i]
+		c := s.classOf(j, spec.Labels)
 		delay = max(delay, c.delay(j.submission.Priority))
+		if s.index.HasRoom(c.key.firm, c.key.service, spec.Labels, spec.Size) {
+			// What waits is held back for faster endpoints, or does not fit.
+			return delay, false
+		}
 	}
 	return delay, delay > time.Duration(admittedSlack*float64(j.objective.slack()))
 }
--- a/internal/dispatch/placer/fit.go
+++ b/internal/dispatch/placer/fit.go
@@ -1,5 +1,7 @@
 package placer
 
+import "github.com/burdockrudder/burdockrudder/internal/dispatch/messenger"
+
 // Fit tells whether a task with given labels can ever run.
 type Fit int
 
@@ -15,6 +17,25 @@
 	FitOK
 )
 
+// HasRoom tells whether an endpoint that offers the labels is thought to have room
+// for a task of the size now.
+func (x *Index) HasRoom(firm, service string, labels []string, size messenger.Resources) bool {
+	p := x.pools[poolKey{firm, service}]
+	if p == nil {
+		return false
+	}
+	c := p.class(labels)
+	if c == nil {
+		return false
+	}
+	for _, m := range c.free {
+		if m.takes(size) {
+			return true
+		}
+	}
+	return false
+}
+
 // Fit tells whether an endpoint of the service offers all the labels.
 func (x *Index) Fit(firm, service string, labels []string) Fit {
 	p := x.pools[poolKey{firm, service}]
