Place a task again that was overdue in an agent's queue

A task without an earlier failure gave its job up. Ruled out: double counting of results. A job is now told as failed only if a task has used up its attempts, counted in one place. Test: volatile_overdue_queued.txtar, failed before with 'c1 outcome j failed'.

--- a/internal/daemon/launcher/agent.go
+++ b/internal/daemon/launcher/agent.go
@@ -63,6 +63,7 @@
 		kernel:    kernel,
 		logger:    a.Logger,
 		scope:     a.Scope,
+		counted:   newDecisionCounters(a.Scope),
 		clock:     newClock(),
 		bootstrap: a.bootstrap(),
 		state:     &gatekeeper.State{Name: a.Config.Name, Incarnation: a.Incarnation},
--- a/internal/daemon/launcher/agent_control.go
+++ b/internal/daemon/launcher/agent_control.go
@@ -28,6 +28,7 @@
 	// entries are the entries to link to, once linking is allowed.
 	entries []messenger.EntryAddress
 	linked  atomic.Int64
+	counted decisionCounters
 
 	state *gatekeeper.State
 	loop  *loop[agentEvent, agentEffect]
@@ -151,7 +152,7 @@
 	if d.Started {
 		outcome = "start"
 	}
-	c.scope.Tagged(map[string]string{"kind": outcome}).Counter("decisions").Inc(1)
+	c.counted.of(outcome).Inc(1)
 	c.logger.Info("decision",
 		zap.String("kind", outcome),
 		zap.Stringer("submission", d.Task.Submission),
--- a/internal/daemon/launcher/entry.go
+++ b/internal/daemon/launcher/entry.go
@@ -107,12 +107,13 @@
 		return nil, err
 	}
 	control := &entryControl{
-		kernel: kernel,
-		logger: e.Logger,
-		scope:  e.Scope,
-		trace:  trace,
-		clock:  newClock(),
-		sample: rand.New(rand.NewPCG(e.Seed, sampleStream)),
+		kernel:  kernel,
+		logger:  e.Logger,
+		scope:   e.Scope,
+		counted: newDecisionCounters(e.Scope),
+		trace:   trace,
+		clock:   newClock(),
+		sample:  rand.New(rand.NewPCG(e.Seed, sampleStream)),
 		state: &coordinator.State{
 			Config: config,
 			Random: rand.New(rand.NewPCG(e.Seed, e.Seed)),
--- a/internal/daemon/launcher/entry_control.go
+++ b/internal/daemon/launcher/entry_control.go
@@ -41,6 +41,7 @@
 	state    *coordinator.State
 	loop     *loop[coordinator.Event, coordinator.Effect]
 	calls    callTable
+	counted  decisionCounters
 	snapshot atomic.Pointer[coordinator.Snapshot]
 	shownAt  time.Time
 	replaced string
@@ -159,7 +160,7 @@
 }
 
 func (c *entryControl) logDecision(d coordinator.Decision) {
-	c.scope.Tagged(map[string]string{"kind": string(d.Kind)}).Counter("decisions").Inc(1)
+	c.counted.of(string(d.Kind)).Inc(1)
 	if !c.logged(d) {
 		return
 	}
--- a/internal/dispatch/coordinator/backlog.go
+++ b/internal/dispatch/coordinator/backlog.go
@@ -16,6 +16,8 @@
 type backlog struct {
 	// waiting is in milli-core seconds, by priority.
 	waiting [priorities]float64
+	// waitingMilli is the size of the tasks that wait, in thousandths of a core.
+	waitingMilli int
 	// running is the size of the tasks that are under way, in thousandths of a core.
 	running int
 }
@@ -30,11 +32,13 @@
 func (b *backlog) wait(t *task) {
 	t.work = float64(milliOf(t)) * t.job.submission.Tasks[t.index].DeclaredRunTime.Seconds()
 	b.waiting[t.job.submission.Priority] += t.work
+	b.waitingMilli += milliOf(t)
 }
 
 func (b *backlog) leave(t *task) {
 	b.waiting[t.job.submission.Priority] = max(0, b.waiting[t.job.submission.Priority]-t.work)
 	t.work = 0
+	b.waitingMilli -= milliOf(t)
 }
 
 func (b *backlog) sent(t *task)     { b.running += milliOf(t) }
--- a/internal/dispatch/coordinator/cancel.go
+++ b/internal/dispatch/coordinator/cancel.go
@@ -187,9 +187,16 @@
 		if !s.takeCopy(t, m.Attempt, from, placer.Returned{Verdict: placer.NotStarted}) {
 			return
 		}
-		if len(t.copies) == 0 {
-			s.finishTask(t, t.unstarted(t.job.stopReason))
+		if len(t.copies) > 0 || t.phase == taskDone {
+			return
+		}
+		if t.job.submission.Volatile && t.job.stopReason == "" {
+			// It was overdue in the agent's queue.
+			t.attempt++
+			s.enqueue(t)
+			return
 		}
+		s.finishTask(t, t.unstarted(t.job.stopReason))
 	case messenger.RecordRunning:
 		if !s.now.Before(t.job.deadlineAt) && !t.job.submission.Volatile {
 			s.inDoubt(t, "the task had not ended when the deadline passed")
--- a/internal/dispatch/coordinator/config.go
+++ b/internal/dispatch/coordinator/config.go
@@ -49,6 +49,9 @@
 	// DrainLinger is how long a graceful stop goes on admitting volatile
 	// submissions, which come over connections that callers still have open.
 	DrainLinger time.Duration
+	// WaitingInterval, times the number of peers, is the least time between two
+	// messages that tell the peers what waits here.
+	WaitingInterval time.Duration
 	// RetryAfter is what a refused caller of a volatile submission is told to wait.
 	RetryAfter time.Duration
 	// TicketLifetime is how long an id handed out by this entry may be used.
@@ -88,5 +91,6 @@
 		RecordHorizon:   10 * time.Minute,
 		OwnerLease:      800 * time.Millisecond,
 		RetryAfter:      time.Second,
+		WaitingInterval: 10 * time.Millisecond,
 	}
 }
--- a/internal/dispatch/coordinator/objective.go
+++ b/internal/dispatch/coordinator/objective.go
@@ -70,17 +70,26 @@
 	}
 	var delay time.Duration
 	for i := range j.tasks {
-		spec := &j.submission.Tasks[i]
-		c := s.classOf(j, spec.Labels)
-		delay = max(delay, c.delay(j.submission.Priority))
-		if s.index.HasRoom(c.key.firm, c.key.service, spec.Labels, spec.Size) {
-			// What waits is held back for faster endpoints, or does not fit.
-			return delay, false
+		c := s.classOf(j, j.submission.Tasks[i].Labels)
+		if s.hasRoomFor(j, c) {
+			// What waits is held back for faster endpoints.
+			continue
 		}
+		delay = max(delay, c.delay(j.submission.Priority))
 	}
 	return delay, delay > time.Duration(admittedSlack*float64(j.objective.slack()))
 }
 
+// hasRoomFor tells whether the endpoints of a class are thought to have room for
+// the job beside everything that waits for them here.
+func (s *State) hasRoomFor(j *job, c *class) bool {
+	needed := c.waitingMilli
+	for i := range j.tasks {
+		needed += milliOf(&j.tasks[i])
+	}
+	return s.index.RoomMilliCPU(c.key.firm, c.key.service, c.labels) >= needed
+}
+
 // retryAfter tells a refused caller to come back when the backlog has gone, and
 // spreads the callers.
 func (s *State) retryAfter(delay time.Duration) time.Duration {
--- a/internal/dispatch/coordinator/volatile.go
+++ b/internal/dispatch/coordinator/volatile.go
@@ -137,14 +137,11 @@
 	if len(t.copies) > 0 {
 		return true
 	}
-	if !t.job.deadlineAt.After(s.now) {
-		return false
-	}
 	if ended.State == messenger.TaskFailed {
 		t.failures++
-		if t.failures >= max(1, t.job.submission.MaxAttempts) {
-			return false
-		}
+	}
+	if t.exhausted() || !t.job.deadlineAt.After(s.now) {
+		return false
 	}
 	s.counters.Retries++
 	t.attempt++
@@ -152,6 +149,11 @@
 	return true
 }
 
+// exhausted tells whether a task has failed as often as it may.
+func (t *task) exhausted() bool {
+	return t.failures >= max(1, t.job.submission.MaxAttempts)
+}
+
 // endVolatile answers a volatile job of which a task was not done, and ends what
 // still runs of it. The job has failed only if the task has used up its attempts;
 // one that could not be placed again in time is given up.
@@ -160,7 +162,7 @@
 	if !j.submission.Volatile || j.givenUp {
 		return
 	}
-	if t.outcome.State != messenger.TaskFailed {
+	if !t.exhausted() {
 		s.giveUp(j, "a task could not run again in time: "+t.outcome.Reason)
 		return
 	}
--- a/internal/dispatch/coordinator/yield.go
+++ b/internal/dispatch/coordinator/yield.go
@@ -9,10 +9,6 @@
 	"github.com/burdockrudder/burdockrudder/internal/dispatch/messenger"
 )
 
-// waitingInterval, times the number of peers, is the least time between two
-// messages that tell the peers what waits here. It bounds them to 100 a second.
-const waitingInterval = 10 * time.Millisecond
-
 // ahead returns how many tasks that wait at peers have a higher priority than a
 // task of this entry.
 func (s *State) ahead(c *class, item limiter.Item) int {
@@ -43,7 +39,7 @@
 // entry would use the slots that its own tasks leave for its own tasks, also when
 // more urgent ones wait at a peer.
 func (s *State) tellWaiting() {
-	interval := waitingInterval * time.Duration(len(s.peers))
+	interval := s.Config.WaitingInterval * time.Duration(len(s.peers))
 	if len(s.peers) == 0 || s.now.Sub(s.waitingToldAt) < interval {
 		return
 	}
--- a/internal/dispatch/gatekeeper/reports.go
+++ b/internal/dispatch/gatekeeper/reports.go
@@ -31,7 +31,7 @@
 // entry would learn only from the next report that another one has filled or left
 // a slot. These reports repeat the sequence, which dates the settings.
 func (s *State) reportLoad() {
-	interval := loadReportInterval * time.Duration(len(s.entries))
+	interval := s.LoadReportInterval * time.Duration(len(s.entries))
 	if s.sequence == 0 || s.now.Sub(s.loadToldAt) < interval {
 		return
 	}
--- a/internal/dispatch/gatekeeper/state.go
+++ b/internal/dispatch/gatekeeper/state.go
@@ -25,9 +25,9 @@
 	minRecordHorizon = 6 * time.Minute
 	// reportTimes is how many sent reports are remembered to date an echo.
 	reportTimes = 64
-	// loadReportInterval, times the number of entries, is the least time between
-	// reports of a changed load. It bounds them to 100 a second, about 10 KB/s.
-	loadReportInterval = 10 * time.Millisecond
+	// defaultLoadReportInterval bounds reports of a changed load to 100 a second,
+	// about 10 KB/s.
+	defaultLoadReportInterval = 10 * time.Millisecond
 )
 
 // State is an agent's decision state. Its exported fields are set before the
@@ -37,6 +37,9 @@
 	Incarnation messenger.Incarnation
 	// ReportInterval is the time between reports; 0 means 500 ms.
 	ReportInterval time.Duration
+	// LoadReportInterval, times the number of entries, is the least time between
+	// reports of a changed load; 0 means 10 ms, which bounds them to 100 a second.
+	LoadReportInterval time.Duration
 
 	now       time.Time
 	effects   []Effect
@@ -184,6 +187,9 @@
 	if s.ReportInterval == 0 {
 		s.ReportInterval = 500 * time.Millisecond
 	}
+	if s.LoadReportInterval == 0 {
+		s.LoadReportInterval = defaultLoadReportInterval
+	}
 }
 
 func (s *State) emit(effect Effect) {
--- a/internal/dispatch/placer/fit.go
+++ b/internal/dispatch/placer/fit.go
@@ -1,7 +1,5 @@
 package placer
 
-import "github.com/burdockrudder/burdockrudder/internal/dispatch/messenger"
-
 // Fit tells whether a task with given labels can ever run.
 type Fit int
 
@@ -17,23 +15,26 @@
 	FitOK
 )
 
-// HasRoom tells whether an endpoint that offers the labels is thought to have room
-// for a task of the size now.
-func (x *Index) HasRoom(firm, service string, labels []string, size messenger.Resources) bool {
+// RoomMilliCPU is the room that the endpoints with the labels are thought to have
+// now, in thousandths of a core. A free slot of one without a capacity counts as one.
+func (x *Index) RoomMilliCPU(firm, service string, labels []string) int {
 	p := x.pools[poolKey{firm, service}]
 	if p == nil {
-		return false
+		return 0
 	}
 	c := p.class(labels)
 	if c == nil {
-		return false
+		return 0
 	}
+	room := 0
 	for _, m := range c.free {
-		if m.takes(size) {
-			return true
+		if m.Capacity.IsZero() {
+			room += 1000 * (m.Slots - m.used())
+			continue
 		}
+		room += m.room().MilliCPU
 	}
-	return false
+	return room
 }
 
 // Fit tells whether an endpoint of the service offers all the labels.
