--- a/internal/daemon/launcher/entry_call.go
+++ b/internal/daemon/launcher/entry_call.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 
 	"github.com/burdockrudder/burdockrudder/internal/dispatch/coordinator"
 )
@@ -10,12 +11,15 @@
 // ErrStopped means that the entry stopped before it answered.
 var ErrStopped = errors.New("the entry has stopped")
 
+// ErrNotTaken means that the call was never taken, so that it has no effect.
+var ErrNotTaken = fmt.Errorf("the call was not taken: %w", ErrStopped)
+
 // Call hands a caller's event to the control goroutine and waits for its answer.
 func (c *entryControl) Call(ctx context.Context, event func(coordinator.CallID) coordinator.Event) (coordinator.Answer, error) {
 	call, answer := c.calls.open()
 	defer c.calls.close(call)
 	if !c.loop.post(event(call)) {
-		return nil, ErrStopped
+		return nil, ErrNotTaken
 	}
 	select {
 	case a := <-answer:
--- a/internal/dispatch/coordinator/backlog.go
+++ b/internal/dispatch/coordinator/backlog.go
@@ -1,6 +1,7 @@
 package coordinator
 
 import (
+	"math"
 	"time"
 
 	"github.com/burdockrudder/burdockrudder/internal/dispatch/messenger"
@@ -9,6 +10,14 @@
 // slotMilliCPU is what a task without a stated size counts for.
 const slotMilliCPU = 1000
 
+// rateWindow is the time over which the rate of work is measured: a few run times
+// of the shortest tasks, and far less than a burst.
+const rateWindow = 500 * time.Millisecond
+
+// rateHeadroom is how much faster than measured the backlog may be thought to
+// shrink. The measured rate lags behind while the load rises.
+const rateHeadroom = 1.25
+
 // priorities is the number of priorities.
 const priorities = int(messenger.PriorityHigh) + 1
 
@@ -20,6 +29,9 @@
 	waitingMilli int
 	// running is the size of the tasks that are under way, in thousandths of a core.
 	running int
+	// done is the work that was done lately, fading with rateWindow, as of doneAt.
+	done   float64
+	doneAt time.Time
 }
 
 func milliOf(t *task) int {
@@ -29,8 +41,23 @@
 	return slotMilliCPU
 }
 
+// workOf is the declared work of a task, in milli-core seconds.
+func workOf(t *task) float64 {
+	return float64(milliOf(t)) * t.job.submission.Tasks[t.index].DeclaredRunTime.Seconds()
+}
+
+// finished notes that a task was done.
+func (b *backlog) finished(now time.Time, t *task) {
+	b.done = b.fading(now) + workOf(t)
+	b.doneAt = now
+}
+
+func (b *backlog) fading(now time.Time) float64 {
+	return b.done * math.Exp(-now.Sub(b.doneAt).Seconds()/rateWindow.Seconds())
+}
+
 func (b *backlog) wait(t *task) {
-	t.work = float64(milliOf(t)) * t.job.submission.Tasks[t.index].DeclaredRunTime.Seconds()
+	t.work = workOf(t)
 	b.waiting[t.job.submission.Priority] += t.work
 	b.waitingMilli += milliOf(t)
 }
@@ -45,12 +72,14 @@
 func (b *backlog) returned(t *task) { b.running = max(0, b.running-milliOf(t)) }
 
 // delay is how long a task of a priority is expected to wait. While tasks wait,
-// this entry's share of the endpoints is in use, so what runs is also the rate at
-// which its backlog shrinks.
-func (b *backlog) delay(priority messenger.Priority) time.Duration {
+// this entry's share of the endpoints is in use, so what runs bounds the rate at
+// which its backlog shrinks. What is done lately bounds it as well: orders may hang,
+// runs fail, and endpoints be slower than declared.
+func (b *backlog) delay(now time.Time, priority messenger.Priority) time.Duration {
 	var ahead float64
 	for p := priority; p <= messenger.PriorityHigh; p++ {
 		ahead += b.waiting[p]
 	}
-	return time.Duration(ahead / float64(max(b.running, slotMilliCPU)) * float64(time.Second))
+	rate := min(float64(b.running), rateHeadroom*b.fading(now)/rateWindow.Seconds())
+	return time.Duration(ahead / max(rate, slotMilliCPU) * float64(time.Second))
 }
--- a/internal/dispatch/coordinator/objective.go
+++ b/internal/dispatch/coordinator/objective.go
@@ -75,7 +75,7 @@
 			// What waits is held back for faster endpoints.
 			continue
 		}
-		delay = max(delay, c.delay(j.submission.Priority))
+		delay = max(delay, c.delay(s.now, j.submission.Priority))
 	}
 	return delay, delay > time.Duration(admittedSlack*float64(j.objective.slack()))
 }
--- a/internal/dispatch/coordinator/results.go
+++ b/internal/dispatch/coordinator/results.go
@@ -34,6 +34,9 @@
 	if !taken || t.phase == taskDone {
 		return
 	}
+	if m.Outcome.State == messenger.TaskSucceeded {
+		t.class.finished(s.now, t)
+	}
 	if m.Outcome.State == messenger.TaskSucceeded || !s.retry(t, m.Outcome) {
 		s.finishTask(t, m.Outcome)
 	}
--- a/internal/edge/supervisor/caller.go
+++ b/internal/edge/supervisor/caller.go
@@ -9,7 +9,7 @@
 
 const (
 	// orderPatience bounds a start or a stop on the same host.
-	orderPatience = 80 * time.Millisecond
+	orderPatience = 50 * time.Millisecond
 	// holdPatience bounds a hold beyond the time that it waits for an end.
 	holdPatience = 200 * time.Millisecond
 )
