Close the gate of an endpoint that does not answer, and let its lease lapse

Ruled out: the entries (they had sent nothing twice). Two holds in a row without an answer now close the gate, and no call renews the lease until one is answered.

--- a/internal/edge/supervisor/calls.go
+++ b/internal/edge/supervisor/calls.go
@@ -112,11 +112,13 @@
 	s.calls++
 	s.holds[s.calls] = s.now
 	h := Hold{Boot: s.Boot, Token: s.Token, Observed: s.observed, Wait: wait}
-	if !s.clockAt.IsZero() && s.now.Sub(s.answeredAt) < answerPatience {
+	// The lease of an endpoint that does not answer is left to lapse, so that it
+	// does so at a known time.
+	if !s.clockAt.IsZero() && s.missed == 0 {
 		h.Until = s.until()
 		s.renews()
 	}
-	if s.clockAt.IsZero() {
+	if s.clockAt.IsZero() || s.missed > 0 {
 		h.Wait = 0
 	}
 	s.emit(CallHold{Call: s.calls, Hold: h})
--- a/internal/edge/supervisor/lists.go
+++ b/internal/edge/supervisor/lists.go
@@ -18,6 +18,8 @@
 		// The endpoint may have restarted: what it was ordered before must not be
 		// carried out by its next boot.
 		s.Token++
+		s.missed++
+		s.suspend()
 	}
 	if e.NoAnswer || e.Refusal != "" {
 		s.raiseToken(e.Refusal)
@@ -32,6 +34,7 @@
 	}
 	s.Boot.Born = e.Lists.Born
 	s.answeredAt = s.now
+	s.missed = 0
 	s.clock, s.clockAt = e.Lists.Clock, s.now
 	s.takeEnds(e.Lists.Ended)
 	s.takeRunning(e.Lists.Running)
@@ -39,6 +42,15 @@
 	s.becomeClean()
 }
 
+// suspend takes nothing new while the endpoint does not answer. Its runs are still
+// followed.
+func (s *State) suspend() {
+	if s.clean && s.missed >= missedHolds {
+		s.clean = false
+		s.emit(Unready{Reason: "the endpoint does not answer"})
+	}
+}
+
 func (s *State) takeEnds(ends []End) {
 	for _, end := range ends {
 		if end.Number <= s.observed {
--- a/internal/edge/supervisor/model_test.go
+++ b/internal/edge/supervisor/model_test.go
@@ -6,6 +6,8 @@
 	"math/rand/v2"
 	"testing"
 	"time"
+
+	"github.com/burdockrudder/burdockrudder/internal/dispatch/messenger"
 )
 
 // model is an endpoint on a virtual clock whose answers are lost and whose orders
@@ -29,7 +31,9 @@
 	finished map[Run]bool
 	open     map[Run]bool
 	invoked  int
-	down     time.Time
+	// succeeded counts the runs that were done.
+	succeeded int
+	down      time.Time
 	// contacted is true once the agent has reached this boot with a token above
 	// formerToken, the last one of the former boot. A hold that is carried out late
 	// has the former token (seed 263).
@@ -237,6 +241,9 @@
 		m.t.Fatalf("%v: %v was reported as %s and still runs", m.now, e.Run, e.Outcome.State)
 	}
 	m.finished[e.Run] = true
+	if e.Outcome.State == messenger.TaskSucceeded {
+		m.succeeded++
+	}
 }
 
 func (m *model) invokeNext() {
@@ -271,8 +278,10 @@
 			if len(m.open) > 0 {
 				t.Errorf("%d of %d runs were never reported: %v", len(m.open), m.invoked, m.open)
 			}
-			if m.invoked < 100 {
-				t.Errorf("only %d runs", m.invoked)
+			// A fifth of the runs is aborted, 5% of the orders are late, and the endpoint
+			// is down a fifth of the time.
+			if m.invoked < 100 || m.succeeded < m.invoked*2/5 {
+				t.Errorf("%d of %d runs were done", m.succeeded, m.invoked)
 			}
 		})
 	}
--- a/internal/edge/supervisor/state.go
+++ b/internal/edge/supervisor/state.go
@@ -14,14 +14,17 @@
 	// holdWait is how long a hold waits for an end. Three in a row may be lost
 	// before the lease lapses.
 	holdWait = 250 * time.Millisecond
-	// answerPatience is the time without an answer after which the lease is no
-	// longer renewed, so that it lapses at a known time.
+	// answerPatience is the time without an answer after which the endpoint counts as
+	// not followed.
 	answerPatience = 600 * time.Millisecond
 	// clockDrift bounds how much slower an endpoint's clock may be, in percent.
 	clockDrift = 2
 	// lapseMargin covers the stop of the runs after the lease, and the difference
 	// between the reading of a clock and its arrival.
 	lapseMargin = 60 * time.Millisecond
+	// missedHolds is how many holds in a row may stay without an answer before the
+	// endpoint takes nothing new. A crashed one refuses connections at once.
+	missedHolds = 2
 	// repeatAfter is the wait before a stop without an answer is sent again.
 	repeatAfter = 50 * time.Millisecond
 	// holdPause is the wait before the next hold after one without an answer.
@@ -50,6 +53,8 @@
 	clockAt time.Time
 	// answeredAt is when the endpoint last answered a hold.
 	answeredAt time.Time
+	// missed counts the holds in a row without an answer.
+	missed int
 	// lapsesAt is when everything at the endpoint has surely ended, if no further
 	// call renews the lease.
 	lapsesAt time.Time
