--- a/internal/dispatch/coordinator/backlog.go
+++ b/internal/dispatch/coordinator/backlog.go
@@ -15,7 +15,7 @@
 const rateWindow = 500 * time.Millisecond
 
 // rateHeadroom is how much faster than measured the backlog may be thought to
-// shrink. The measured rate lags behind while the load rises.
+// shrink.
 const rateHeadroom = 1.25
 
 // priorities is the number of priorities.
@@ -27,6 +27,8 @@
 	waiting [priorities]float64
 	// waitingMilli is the size of the tasks that wait, in thousandths of a core.
 	waitingMilli int
+	// waitingSince is when tasks began to wait without a pause.
+	waitingSince time.Time
 	// running is the size of the tasks that are under way, in thousandths of a core.
 	running int
 	// done is the work that was done lately, fading with rateWindow, as of doneAt.
@@ -56,7 +58,10 @@
 	return b.done * math.Exp(-now.Sub(b.doneAt).Seconds()/rateWindow.Seconds())
 }
 
-func (b *backlog) wait(t *task) {
+func (b *backlog) wait(now time.Time, t *task) {
+	if b.waitingMilli == 0 {
+		b.waitingSince = now
+	}
 	t.work = workOf(t)
 	b.waiting[t.job.submission.Priority] += t.work
 	b.waitingMilli += milliOf(t)
@@ -74,12 +79,16 @@
 // delay is how long a task of a priority is expected to wait. While tasks wait,
 // this entry's share of the endpoints is in use, so what runs bounds the rate at
 // which its backlog shrinks. What is done lately bounds it as well: orders may hang,
-// runs fail, and endpoints be slower than declared.
+// runs fail, and endpoints be slower than declared. Before tasks have waited for
+// rateWindow, the measured rate is that of a lower load and says nothing.
 func (b *backlog) delay(now time.Time, priority messenger.Priority) time.Duration {
 	var ahead float64
 	for p := priority; p <= messenger.PriorityHigh; p++ {
 		ahead += b.waiting[p]
 	}
-	rate := min(float64(b.running), rateHeadroom*b.fading(now)/rateWindow.Seconds())
+	rate := float64(b.running)
+	if now.Sub(b.waitingSince) >= rateWindow {
+		rate = min(rate, rateHeadroom*b.fading(now)/rateWindow.Seconds())
+	}
 	return time.Duration(ahead / max(rate, slotMilliCPU) * float64(time.Second))
 }
--- a/internal/dispatch/coordinator/dispatch.go
+++ b/internal/dispatch/coordinator/dispatch.go
@@ -63,7 +63,7 @@
 		t.class = s.classOf(t.job, t.job.submission.Tasks[t.index].Labels)
 	}
 	t.phase = taskWaiting
-	t.class.wait(t)
+	t.class.wait(s.now, t)
 	if !t.class.ordered {
 		t.class.ordered = true
 		s.order = append(s.order, t.class)
--- a/internal/dispatch/coordinator/script_test.go
+++ b/internal/dispatch/coordinator/script_test.go
@@ -172,6 +172,11 @@
 		Teams:    map[string]resolver.Team{"t1": {Weight: 1, MaxWaitingTasks: step.Int(t, "waiting", 0)}},
 		Places:   map[string]resolver.Place{"sahel": {FailureDomains: map[string]resolver.FailureDomain{}}},
 	}
+	if target := step.Duration(t, "objective", 0); target > 0 {
+		firm.Queues = map[string]resolver.Queue{"": {
+			Service: "dispatch", StretchFactor: 1.6, TargetLatency: resolver.Duration(target),
+		}}
+	}
 	for _, domain := range []string{"sousse", "monastir"} {
 		firm.Places["sahel"].FailureDomains[domain] = resolver.FailureDomain{
 			Services: map[string]resolver.Service{"dispatch": {}},
