--- a/internal/daemon/launcher/agent_control.go
+++ b/internal/daemon/launcher/agent_control.go
@@ -84,8 +84,8 @@
 	endpoint supervisor.Effect
 }
 
-func (c *agentControl) post(event gatekeeper.Event) bool {
-	return c.loop.post(agentEvent{gate: event})
+func (c *agentControl) post(event gatekeeper.Event) {
+	c.loop.post(agentEvent{gate: event})
 }
 
 func (c *agentControl) handle(now time.Time, event agentEvent) []agentEffect {
--- a/internal/proof/checker/submission.go
+++ b/internal/proof/checker/submission.go
@@ -166,7 +166,7 @@
 				return false, s
 			}
 			s.never = with(s.never, i)
-		case messenger.TaskSucceeded, messenger.TaskFailed:
+		case messenger.TaskSucceeded, messenger.TaskFailed, messenger.TaskInterrupted:
 			if !s.started[i] {
 				return false, s
 			}
