--- a/internal/command/hoster/hoster.go
+++ b/internal/command/hoster/hoster.go
@@ -48,13 +48,13 @@
 		Short: short,
 		Args:  cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			config, err := read(path, defaults)
+			config, err := parser.ReadInto(path, defaults)
 			if err != nil {
 				return err
 			}
 			w := &watcher{path: path}
 			w.load = func() (platform.ProcessConfig, error) {
-				changed, err := read(path, defaults)
+				changed, err := parser.ReadInto(path, defaults)
 				return process(changed), err
 			}
 			return w.run(cmd.Context(), func(ctx context.Context) error { return run(ctx, config, w.register) })
@@ -67,16 +67,6 @@
 	return command
 }
 
-// read reads a settings file and reports all findings together.
-func read[T any](path string, defaults T) (T, error) {
-	data, err := os.ReadFile(path)
-	if err != nil {
-		return defaults, fmt.Errorf("read settings file: %w", err)
-	}
-	config, findings := parser.ParseInto(path, data, defaults)
-	return config, parser.Join(findings)
-}
-
 // watcher reads the settings file again at each SIGHUP.
 type watcher struct {
 	path   string
--- a/internal/command/starter/starter.go
+++ b/internal/command/starter/starter.go
@@ -49,7 +49,7 @@
 		Short: short,
 		Args:  cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			config, err := readConfig(path, defaults)
+			config, err := parser.ReadInto(path, defaults)
 			if err != nil {
 				return err
 			}
@@ -67,16 +67,6 @@
 	}
 }
 
-// readConfig reads a daemon's settings file and reports all findings together.
-func readConfig[T any](path string, defaults T) (T, error) {
-	data, err := os.ReadFile(path)
-	if err != nil {
-		return defaults, fmt.Errorf("read settings file: %w", err)
-	}
-	config, findings := parser.ParseInto(path, data, defaults)
-	return config, parser.Join(findings)
-}
-
 // process is what both daemons need of their surroundings.
 type process struct {
 	logger      *zap.Logger
--- a/internal/daemon/launcher/agent.go
+++ b/internal/daemon/launcher/agent.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net"
+	"slices"
 	"time"
 
 	"github.com/uber-go/tally/v4"
@@ -82,7 +83,8 @@
 		{serviceControl, control},
 	}
 	if control.endpoint != nil {
-		parts = append(parts[:1], append([]part{{serviceEndpoint, control.endpoint.caller}}, parts[1:]...)...)
+		// The calls go on until the control goroutine has drained.
+		parts = slices.Insert(parts, 1, part{serviceEndpoint, control.endpoint.caller})
 	}
 	if a.Table != nil {
 		parts = append(parts, part{serviceDirectory, &directoryReader{table: a.Table, control: control, logger: a.Logger}})
--- a/internal/dispatch/coordinator/admit.go
+++ b/internal/dispatch/coordinator/admit.go
@@ -46,19 +46,29 @@
 		s.refuseAfterRead(w, submission, messenger.CodeNotRun, "this entry is "+s.lifeCycle.Current())
 		return
 	}
-	settings, ok := s.tree.ResolveAdmission(key.Firm, key.Service)
+	settings, refusal, known := s.check(w, &submission)
+	switch {
+	case !known:
+	case refusal.Code != "":
+		s.refuseAfterRead(w, submission, refusal.Code, refusal.Reason)
+	default:
+		s.admit(w, submission, settings)
+	}
+}
+
+// check completes a submission and returns the settings that bound it, and why it
+// cannot be admitted now, if so. A service that is not known is answered here.
+func (s *State) check(w waiter, submission *messenger.Submission) (resolver.Resolved, messenger.Refusal, bool) {
+	settings, ok := s.tree.ResolveAdmission(submission.Key.Firm, submission.Key.Service)
 	if !ok {
-		s.replyRefusal(w, key, messenger.CodeNotFound, "no such service")
-		return
+		s.replyRefusal(w, submission.Key, messenger.CodeNotFound, "no such service")
+		return settings, messenger.Refusal{}, false
 	}
 	if submission.Deadline == 0 {
 		submission.Deadline = time.Duration(settings.DefaultDeadline)
 	}
-	if refusal, refused := s.validate(submission, settings); refused {
-		s.refuseAfterRead(w, submission, refusal.Code, refusal.Reason)
-		return
-	}
-	s.admit(w, submission, settings)
+	refusal, _ := s.validate(*submission, settings)
+	return settings, refusal, true
 }
 
 // admit starts a submission that has a ticket of this entry, and asks for the
--- a/internal/dispatch/coordinator/volatile.go
+++ b/internal/dispatch/coordinator/volatile.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/burdockrudder/burdockrudder/internal/dispatch/messenger"
+	"github.com/burdockrudder/burdockrudder/internal/settings/resolver"
 )
 
 // Volatile submissions are not recorded. They start at once, their callers learn
@@ -31,18 +32,19 @@
 		s.refuseVolatile(w, key, messenger.CodeNotRun, "this entry is "+s.lifeCycle.Current())
 		return
 	}
-	settings, ok := s.tree.ResolveAdmission(key.Firm, key.Service)
-	if !ok {
-		s.replyRefusal(w, key, messenger.CodeNotFound, "no such service")
-		return
-	}
-	if submission.Deadline == 0 {
-		submission.Deadline = time.Duration(settings.DefaultDeadline)
-	}
-	if refusal, refused := s.validate(submission, settings); refused {
+	settings, refusal, known := s.check(w, &submission)
+	switch {
+	case !known:
+	case refusal.Code != "":
 		s.refuseVolatile(w, key, refusal.Code, refusal.Reason)
-		return
+	default:
+		s.admitVolatile(w, submission, settings)
 	}
+}
+
+// admitVolatile starts a job unless it would miss its objective.
+func (s *State) admitVolatile(w waiter, submission messenger.Submission, settings resolver.Resolved) {
+	key := submission.Key
 	j := s.newJob(submission, settings)
 	j.objective = objectiveOf(s.tree.Firms[key.Firm].Queues[submission.Queue], submission)
 	if delay, late := s.overloaded(j); late {
--- a/internal/dispatch/gatekeeper/results.go
+++ b/internal/dispatch/gatekeeper/results.go
@@ -22,12 +22,7 @@
 		s.announcedAt = s.now.Add(-2 * announceLifetime)
 		s.returnRecord(r, messenger.RefusedNoEndpoint)
 	} else {
-		r.state = messenger.RecordFinished
-		r.outcome = e.Outcome
-		r.runTime = e.RunTime
-		if e.Outcome.State == messenger.TaskSucceeded {
-			s.pace.learn(e.RunTime, r.expected)
-		}
+		s.finish(r, e)
 		s.keepResult(r)
 		s.startQueued()
 		for _, to := range s.listeners(r) {
@@ -37,6 +32,16 @@
 	s.checkDrained()
 }
 
+// finish notes how a task ended that has run.
+func (s *State) finish(r *record, e Invoked) {
+	r.state = messenger.RecordFinished
+	r.outcome = e.Outcome
+	r.runTime = e.RunTime
+	if e.Outcome.State == messenger.TaskSucceeded {
+		s.pace.learn(e.RunTime, r.expected)
+	}
+}
+
 func (s *State) sendFinished(to messenger.Incarnation, r *record) {
 	s.send(to, messenger.Finished{
 		Task: r.task, Attempt: r.attempt, Outcome: r.outcome, RunTime: r.runTime, Load: s.shortLoad(to),
--- a/internal/dispatch/gatekeeper/volatile.go
+++ b/internal/dispatch/gatekeeper/volatile.go
@@ -89,12 +89,7 @@
 	if e.Outcome.State == messenger.TaskNotRun {
 		s.returnRecord(r, messenger.RefusedByEndpoint)
 	} else {
-		r.state = messenger.RecordFinished
-		r.outcome = e.Outcome
-		r.runTime = e.RunTime
-		if e.Outcome.State == messenger.TaskSucceeded {
-			s.pace.learn(e.RunTime, r.expected)
-		}
+		s.finish(r, e)
 		s.sendFinished(r.owner, r)
 	}
 	s.startQueued()
--- a/internal/settings/parser/parser.go
+++ b/internal/settings/parser/parser.go
@@ -4,6 +4,8 @@
 package parser
 
 import (
+	"fmt"
+	"os"
 	"reflect"
 
 	"github.com/burdockrudder/burdockrudder/internal/settings/resolver"
@@ -32,6 +34,16 @@
 	return tree, nil
 }
 
+// ReadInto reads the settings file of a process and reports all findings together.
+func ReadInto[T any](path string, defaults T) (T, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return defaults, fmt.Errorf("read settings file: %w", err)
+	}
+	config, findings := ParseInto(path, data, defaults)
+	return config, Join(findings)
+}
+
 // ParseInto reads process settings into a T. Keys that are absent keep the value
 // of defaults; slices and maps that are present replace those of defaults. Where
 // *T is a Checker, its findings are included. With any finding, the result is
