Count pending jobs as they change, and sort only runs that are overdue

The view went through all jobs ten times a second, and each look at the running tasks sorted them all: a cost that grows with settled jobs and with every entry. Counts are kept now; behaviour stays as it is.

--- a/internal/dispatch/coordinator/dispatch.go
+++ b/internal/dispatch/coordinator/dispatch.go
@@ -161,6 +161,7 @@
 		t.class.leave(t)
 	}
 	t.class.sent(t)
+	s.setPending(t.job, false)
 	t.phase = taskSent
 	t.copies = append(t.copies, copySent{attempt: attempt, agent: a, at: s.now, overdueAt: s.overdueAt(t, a)})
 	a.sent[copyKey{task: t.key(), attempt: attempt}] = t
--- a/internal/dispatch/coordinator/intent.go
+++ b/internal/dispatch/coordinator/intent.go
@@ -162,6 +162,7 @@
 // startJob makes the tasks of an admitted job wait for a slot.
 func (s *State) startJob(j *job) {
 	step(j.lifeCycle, eventAdmit)
+	s.setPending(j, true)
 	heap.Push(&s.deadlines, j)
 	s.emit(Decision{Kind: DecisionAdmit, Submission: j.submission.Key, Reason: string(j.submission.Kind)})
 	if j.submission.Repeatable && j.settings.HedgeAfter > 0 {
--- a/internal/dispatch/coordinator/job.go
+++ b/internal/dispatch/coordinator/job.go
@@ -42,6 +42,8 @@
 	told bool
 	// rowRefused is true once the table has refused the outcome row for good.
 	rowRefused bool
+	// pending is true while the job is counted as one of which nothing was sent.
+	pending bool
 	// givenUp is true of a volatile job that ended without an outcome.
 	givenUp bool
 	// successors are submissions of the same id that wait until every copy of a
--- a/internal/dispatch/coordinator/overdue.go
+++ b/internal/dispatch/coordinator/overdue.go
@@ -1,6 +1,7 @@
 package coordinator
 
 import (
+	"slices"
 	"time"
 
 	"github.com/burdockrudder/burdockrudder/internal/dispatch/messenger"
@@ -39,21 +40,34 @@
 	}
 	s.overdueLooked = s.now
 	for _, a := range s.sorted {
-		for _, key := range a.sortedCopies() {
+		for _, key := range a.overdueCopies(s.now) {
 			s.moveIfOverdue(a.sent[key], key.attempt)
 		}
 	}
 }
 
+// overdueCopies returns what has been at an agent for too long, in a fixed order.
+func (a *agent) overdueCopies(now time.Time) []copyKey {
+	var overdue []copyKey
+	for key, t := range a.sent {
+		if i := t.copyOf(key.attempt); i >= 0 && t.copies[i].isOverdue(now) {
+			overdue = append(overdue, key)
+		}
+	}
+	slices.SortFunc(overdue, compareCopies)
+	return overdue
+}
+
+func (c *copySent) isOverdue(now time.Time) bool {
+	return !c.overdueAt.IsZero() && !c.cancelSent && !now.Before(c.overdueAt)
+}
+
 func (s *State) moveIfOverdue(t *task, attempt int) {
 	i := t.copyOf(attempt)
 	if i < 0 || t.job.stopReason != "" {
 		return
 	}
 	sent := &t.copies[i]
-	if sent.overdueAt.IsZero() || sent.cancelSent || s.now.Before(sent.overdueAt) {
-		return
-	}
 	if sent.agent.succeededAt.After(sent.at) {
 		// The endpoint works: the task is a long one.
 		return
--- a/internal/dispatch/coordinator/settle.go
+++ b/internal/dispatch/coordinator/settle.go
@@ -13,6 +13,7 @@
 // settle computes the outcome and asks for its row.
 func (s *State) settle(j *job) {
 	step(j.lifeCycle, eventFinish)
+	s.setPending(j, false)
 	j.settlingAt = s.now
 	j.outcome = outcomeOf(j)
 	if j.submission.Volatile {
--- a/internal/dispatch/coordinator/state.go
+++ b/internal/dispatch/coordinator/state.go
@@ -72,7 +72,9 @@
 	hedgeable     []*job
 	overdueLooked time.Time
 	storeDown     bool
-	lookups       map[messenger.SubmissionKey][]lookup
+	// pending counts the jobs of each queue of which no task has been sent.
+	pending map[string]int
+	lookups map[messenger.SubmissionKey][]lookup
 
 	index   *placer.Index
 	classes map[classKey]*class
@@ -164,6 +166,7 @@
 	s.knows = make(map[messenger.Incarnation]bool)
 	s.met = make(map[messenger.Incarnation]bool)
 	s.jobs = make(map[messenger.SubmissionKey]*job)
+	s.pending = make(map[string]int)
 	s.lookups = make(map[messenger.SubmissionKey][]lookup)
 	s.index = placer.New()
 	s.classes = make(map[classKey]*class)
--- a/internal/dispatch/coordinator/view.go
+++ b/internal/dispatch/coordinator/view.go
@@ -1,5 +1,7 @@
 package coordinator
 
+import "maps"
+
 // View returns an immutable snapshot for the traffic goroutines.
 func (s *State) View() *Snapshot {
 	view := &Snapshot{
@@ -17,7 +19,7 @@
 		view.LifeCycle = s.lifeCycle.Current()
 		view.Counters.Ejections = s.index.Ejections()
 	}
-	view.PendingByQueue = s.pendingByQueue()
+	view.PendingByQueue = maps.Clone(s.pending)
 	for _, c := range s.order {
 		view.WaitingTasks += c.queue.Len()
 	}
@@ -28,21 +30,6 @@
 	return view
 }
 
-// pendingByQueue looks at the jobs with waiting tasks only.
-func (s *State) pendingByQueue() map[string]int {
-	var pending map[string]int
-	for _, j := range s.jobs {
-		if j.submission.Queue == "" || j.told || j.givenUp || j.mayHaveStarted() {
-			continue
-		}
-		if pending == nil {
-			pending = make(map[string]int)
-		}
-		pending[j.submission.Queue]++
-	}
-	return pending
-}
-
 func (s *State) viewEndpoint(a *agent) EndpointView {
 	return EndpointView{
 		Name:            a.name,
--- a/internal/dispatch/coordinator/volatile.go
+++ b/internal/dispatch/coordinator/volatile.go
@@ -131,6 +131,19 @@
 	}
 }
 
+// setPending counts a job among those of its queue of which no task was sent.
+func (s *State) setPending(j *job, pending bool) {
+	if j.submission.Queue == "" || j.pending == pending {
+		return
+	}
+	j.pending = pending
+	if pending {
+		s.pending[j.submission.Queue]++
+		return
+	}
+	s.pending[j.submission.Queue]--
+}
+
 // retryVolatile places a task again whose earlier attempt is known to have ended.
 func (s *State) retryVolatile(t *task, ended messenger.TaskOutcome) bool {
 	if t.job.stopReason != "" {
@@ -211,6 +224,7 @@
 		return
 	}
 	j.givenUp = true
+	s.setPending(j, false)
 	code := messenger.CodeNotRun
 	if j.mayHaveStarted() {
 		code = messenger.CodeOutcomeUnknown
