Run the whole-path test on a virtual clock and a network in memory

With the missing part named in the message, four copies of the test beside each other (20 clusters of 14 processes, race detector, 6 cores) failed 5 of 8 times: entries that had not renewed their lease, agents that were silent for over 1.5 s, 9 of 11 endpoints known after 15 s. The daemons' real timers ran against a machine that gave them no time: the verdict was that of the machine. One failure had another cause, "9 of 11 endpoints: context canceled" after 2.75 s: a daemon had ended, and its error was hidden. The entries' UDP ports were probed, closed and bound again, so another cluster could take them.

Ruled out: a fault of the start that a longer wait would show; all that was missing differed from run to run.

Change: all processes of the test, QUIC and HTTP included, run in a synctest bubble over a network in memory (simnet of quic-go, pipes), so time passes only when all of them wait. The start reports what is missing and the error of the daemon that ended it. Sockets are handed out bound, so no port is probed any more. TestGracefulStop still runs over loopback sockets.

--- a/internal/demo/runner/clients.go
+++ b/internal/demo/runner/clients.go
@@ -37,6 +37,13 @@
 	inner http.RoundTripper
 }
 
+// CloseIdleConnections closes those of the inner transport.
+func (t delayedTransport) CloseIdleConnections() {
+	if inner, ok := t.inner.(interface{ CloseIdleConnections() }); ok {
+		inner.CloseIdleConnections()
+	}
+}
+
 // RoundTrip delays the request and the response.
 func (t delayedTransport) RoundTrip(request *http.Request) (*http.Response, error) {
 	time.Sleep(t.delay)
@@ -71,12 +78,11 @@
 }
 
 func newClients(c *cluster, ids IDs) *clients {
-	inner := http.DefaultTransport.(*http.Transport).Clone()
-	const idle = 256
-	inner.MaxIdleConnsPerHost = idle
+	http := c.httpClient()
+	http.Transport = delayedTransport{delay: c.deployment.ClientDelay, inner: http.Transport}
 	all := &clients{
 		cluster:  c,
-		http:     &http.Client{Transport: delayedTransport{delay: c.deployment.ClientDelay, inner: inner}},
+		http:     http,
 		ids:      make(map[int]string),
 		repeated: make(map[int][]translator.Outcome),
 	}
--- a/internal/demo/runner/cluster.go
+++ b/internal/demo/runner/cluster.go
@@ -41,6 +41,8 @@
 	operatorSecret = "demo-operator"
 	readyPoll      = 20 * time.Millisecond
 	certificateAge = 24 * time.Hour
+	// idleConnections exceeds the calls that a process has under way at a time.
+	idleConnections = 256
 )
 
 // cluster is all processes of a demo, inside this one.
@@ -49,13 +51,16 @@
 	seed       uint64
 	traceDir   string
 	logger     *zap.Logger
-	authority  *authenticator.Authority
-	keeper     *tablekeeper.Keeper
-	tableURL   string
-	entries    []*entryProcess
-	agents     []*agentProcess
-	group      *errgroup.Group
-	servers    []*http.Server
+	network    network
+	// http carries the calls of the table and the announcements.
+	http      *http.Client
+	authority *authenticator.Authority
+	keeper    *tablekeeper.Keeper
+	tableURL  string
+	entries   []*entryProcess
+	agents    []*agentProcess
+	group     *errgroup.Group
+	servers   []*http.Server
 }
 
 // entryProcess is one entry with what the demo needs to break it.
@@ -86,6 +91,7 @@
 		return nil, err
 	}
 	c.authority = authority
+	c.http = c.httpClient()
 	if err := c.startPlatform(ctx); err != nil {
 		return nil, err
 	}
@@ -102,14 +108,6 @@
 	return c, c.awaitReady(ctx)
 }
 
-func listen() (net.Listener, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return nil, fmt.Errorf("listen on loopback: %w", err)
-	}
-	return listener, nil
-}
-
 func (c *cluster) startPlatform(ctx context.Context) error {
 	c.keeper = &tablekeeper.Keeper{
 		WriteLatency:    writeLatency,
@@ -119,7 +117,7 @@
 		ReadsPerSecond:  readsPerSecond,
 		Seed:            c.seed,
 	}
-	listener, err := listen()
+	listener, err := c.network.listen()
 	if err != nil {
 		return err
 	}
@@ -164,19 +162,21 @@
 	if err != nil {
 		return err
 	}
-	listener, err := listen()
+	listener, err := c.network.listen()
 	if err != nil {
 		return err
 	}
-	address, err := freeUDPAddress()
+	socket, err := c.network.listenPacket()
 	if err != nil {
 		return err
 	}
+	address := socket.LocalAddr().String()
 	p := &entryProcess{isolation: &isolation{}, scope: tally.NewTestScope("", nil), url: "http://" + listener.Addr().String()}
 	p.isolation.onCut(func() { _ = listener.Close() })
 	p.transport = &linker.Transport{
 		Hello:   messenger.Hello{Role: messenger.RoleEntry, Name: name, Incarnation: incarnation},
 		Listen:  address,
+		Socket:  socket,
 		TLS:     tlsConfig,
 		Logger:  c.logger,
 		Metrics: p.scope,
@@ -186,7 +186,7 @@
 		Config:       c.entryConfig(name, address),
 		Incarnation:  incarnation,
 		Seed:         c.seed,
-		Table:        isolatedTable{Table: &storer.Client{BaseURL: c.tableURL, HTTP: &http.Client{}, Timeout: tableTimeout}, isolation: p.isolation},
+		Table:        isolatedTable{Table: &storer.Client{BaseURL: c.tableURL, HTTP: c.http, Timeout: tableTimeout}, isolation: p.isolation},
 		HTTPListener: isolatedListener{Listener: listener, isolation: p.isolation},
 		Logger:       c.logger.Named(name),
 		Scope:        p.scope,
@@ -233,17 +233,21 @@
 	if err != nil {
 		return err
 	}
-	endpoint, err := listen()
+	endpoint, err := c.network.listen()
 	if err != nil {
 		return err
 	}
-	announce, err := listen()
+	announce, err := c.network.listen()
+	if err != nil {
+		return err
+	}
+	socket, err := c.network.listenPacket()
 	if err != nil {
 		return err
 	}
 	p := &agentProcess{isolation: &isolation{}, scope: tally.NewTestScope("", nil), observed: &observations{}}
 	p.executor = c.newExecutor(number, p.observed, "http://"+announce.Addr().String())
-	client := &invoker.HTTP{BaseURL: "http://" + endpoint.Addr().String(), DialTimeout: tableTimeout}
+	client := &invoker.HTTP{BaseURL: "http://" + endpoint.Addr().String(), DialTimeout: tableTimeout, Dial: c.network.dial}
 	client.Prepare()
 	p.agent = &launcher.Agent{
 		Config:           c.agentConfig(name, number),
@@ -256,6 +260,7 @@
 	p.agent.Transport = func(handler launcher.Handler) launcher.Transport {
 		transport := &linker.Transport{
 			Hello:   p.agent.Hello(),
+			Socket:  socket,
 			TLS:     tlsConfig,
 			Handler: isolatedHandler{Handler: handler, isolation: p.isolation},
 			Logger:  c.logger,
@@ -286,51 +291,57 @@
 	return config
 }
 
+// httpClient returns a client over the cluster's network.
+func (c *cluster) httpClient() *http.Client {
+	return &http.Client{Transport: &http.Transport{DialContext: c.network.dial, MaxIdleConnsPerHost: idleConnections}}
+}
+
 // delay is the one-way delay between our processes.
 func (c *cluster) delay(messenger.Hello) time.Duration {
 	return c.deployment.DomainDelay
 }
 
-// freeUDPAddress finds a free port on loopback.
-func freeUDPAddress() (string, error) {
-	conn, err := net.ListenPacket("udp", "127.0.0.1:0")
-	if err != nil {
-		return "", fmt.Errorf("find a free port: %w", err)
-	}
-	defer conn.Close()
-	return conn.LocalAddr().String(), nil
-}
-
 // awaitReady waits until every entry is active and every endpoint has confirmed settings.
 func (c *cluster) awaitReady(ctx context.Context) error {
 	ticker := time.NewTicker(readyPoll)
 	defer ticker.Stop()
-	for !c.ready() {
+	for {
+		missing := c.missing()
+		if missing == "" {
+			return nil
+		}
 		select {
 		case <-ctx.Done():
-			return fmt.Errorf("wait for the cluster: %w", ctx.Err())
+			return fmt.Errorf("wait for the cluster: %s: %w", missing, context.Cause(ctx))
 		case <-ticker.C:
 		}
 	}
-	return nil
 }
 
-func (c *cluster) ready() bool {
+// missing says what the cluster still waits for; empty if it is ready.
+func (c *cluster) missing() string {
 	for _, e := range c.entries {
-		view := e.entry.Snapshot()
-		if view == nil || view.LifeCycle != "active" || len(view.Endpoints) < c.deployment.Endpoints {
-			return false
-		}
-		if len(view.Directory) < c.deployment.Entries || view.AcceptRefusal != "" {
-			return false
+		name, view := e.entry.Config.Name, e.entry.Snapshot()
+		switch {
+		case view == nil:
+			return name + " has not started"
+		case view.LifeCycle != "active":
+			return fmt.Sprintf("%s is %s", name, view.LifeCycle)
+		case len(view.Endpoints) < c.deployment.Endpoints:
+			return fmt.Sprintf("%s knows %d of %d endpoints", name, len(view.Endpoints), c.deployment.Endpoints)
+		case len(view.Directory) < c.deployment.Entries:
+			return fmt.Sprintf("%s knows %d of %d entries", name, len(view.Directory), c.deployment.Entries)
+		case view.AcceptRefusal != "":
+			return fmt.Sprintf("%s accepts no changes: %s", name, view.AcceptRefusal)
 		}
 		for _, endpoint := range view.Endpoints {
-			if endpoint.SettingsVersion < view.SettingsVersion || endpoint.State != "in" {
-				return false
+			if endpoint.State != "in" || endpoint.SettingsVersion < view.SettingsVersion {
+				return fmt.Sprintf("%s sees endpoint %s as %s with settings %d of %d",
+					name, endpoint.Name, endpoint.State, endpoint.SettingsVersion, view.SettingsVersion)
 			}
 		}
 	}
-	return true
+	return ""
 }
 
 // muteLinks makes links from the first entry go silent; new ones work.
--- a/internal/demo/runner/observations.go
+++ b/internal/demo/runner/observations.go
@@ -56,6 +56,7 @@
 		Connections: c.deployment.Connections,
 		Speed:       c.deployment.speed(number),
 		Agent:       agent,
+		HTTP:        c.http,
 		OnStart:     observed.started,
 		OnEnd:       observed.ended,
 	}
--- a/internal/demo/runner/runner.go
+++ b/internal/demo/runner/runner.go
@@ -34,6 +34,8 @@
 	TraceDir string
 	Logger   *zap.Logger
 
+	// network is loopback unless a test sets another.
+	network network
 	jobs    []plannedJob
 	cluster *cluster
 	clients *clients
@@ -84,8 +86,11 @@
 	group, ctx := errgroup.WithContext(ctx)
 	startCtx, cancel := context.WithTimeout(ctx, startPatience)
 	defer cancel()
+	if r.network == nil {
+		r.network = loopback{}
+	}
 	cluster, err := startCluster(startCtx, &cluster{
-		deployment: r.Deployment, seed: r.Seed, traceDir: r.TraceDir, logger: r.Logger, group: group,
+		deployment: r.Deployment, seed: r.Seed, traceDir: r.TraceDir, logger: r.Logger, network: r.network, group: group,
 	})
 	if err != nil {
 		return nil, err
@@ -110,6 +115,8 @@
 func (r *Runner) stop(ctx context.Context, group *errgroup.Group) error {
 	stopCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), stopPatience)
 	defer cancel()
+	defer r.clients.http.CloseIdleConnections()
+	defer r.cluster.http.CloseIdleConnections()
 	r.cluster.stop(stopCtx)
 	if r.cluster.anyDead() {
 		// A dead daemon cannot drain; it ends with this process.
--- a/internal/demo/runner/runner_test.go
+++ b/internal/demo/runner/runner_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"go.uber.org/goleak"
@@ -31,12 +32,12 @@
 	if _, err := r.Run(t.Context()); err != nil {
 		t.Fatal(err)
 	}
-	r.clients.http.CloseIdleConnections()
 	goleak.VerifyNone(t, ignore)
 }
 
-// Guards against parts that work alone and not together: the whole path over
-// real sockets, with each kind of crash. Only invariants are checked, no times.
+// Guards against parts that work alone and not together: the whole path, QUIC and
+// HTTP included, with each kind of crash. The processes share a virtual clock and a
+// network in memory, so that a busy machine cannot make them lose each other.
 func TestWholePathKeepsTheInvariants(t *testing.T) {
 	for _, test := range []struct {
 		deployment string
@@ -51,22 +52,35 @@
 	} {
 		t.Run(test.deployment+"/"+string(test.fault), func(t *testing.T) {
 			t.Parallel()
-			r := testRunner(t, test.deployment, test.fault, test.takeOut)
-			report, err := r.Run(t.Context())
-			if err != nil {
-				t.Fatal(err)
-			}
-			for _, broken := range report.Broken() {
-				t.Errorf("seed %d: %s", r.Seed, broken)
-			}
-			if test.fault == FaultNone && report.Complete != report.Jobs {
-				t.Errorf("seed %d: %d of %d jobs complete without a fault", r.Seed, report.Complete, report.Jobs)
-				logIncomplete(t, r)
-			}
+			synctest.Test(t, func(t *testing.T) {
+				r := testRunner(t, test.deployment, test.fault, test.takeOut)
+				r.network = &memoryNetwork{}
+				checkInvariants(t, r)
+			})
 		})
 	}
 }
 
+func checkInvariants(t *testing.T, r *Runner) {
+	t.Helper()
+	report, err := r.Run(t.Context())
+	if err != nil {
+		t.Fatal(err)
+	}
+	// The clock stands still once the test has returned: daemons that were killed
+	// end before.
+	if err := r.cluster.group.Wait(); err != nil {
+		t.Error(err)
+	}
+	for _, broken := range report.Broken() {
+		t.Errorf("seed %d: %s", r.Seed, broken)
+	}
+	if r.Fault == FaultNone && report.Complete != report.Jobs {
+		t.Errorf("seed %d: %d of %d jobs complete without a fault", r.Seed, report.Complete, report.Jobs)
+		logIncomplete(t, r)
+	}
+}
+
 // Guards against a report that hides a broken invariant.
 func TestBrokenNamesEachInvariant(t *testing.T) {
 	sound := Report{Jobs: 1, Complete: 1, TaskStarts: 1}
--- a/internal/edge/invoker/invoker.go
+++ b/internal/edge/invoker/invoker.go
@@ -80,6 +80,8 @@
 	BaseURL string
 	// DialTimeout bounds connecting.
 	DialTimeout time.Duration
+	// Dial, if set, replaces connecting over TCP.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 
 	client *http.Client
 }
@@ -88,9 +90,12 @@
 
 // Prepare builds the client. It is called once, before Invoke.
 func (h *HTTP) Prepare() {
-	dialer := &net.Dialer{Timeout: h.DialTimeout}
+	dial := h.Dial
+	if dial == nil {
+		dial = (&net.Dialer{Timeout: h.DialTimeout}).DialContext
+	}
 	transport := &http.Transport{
-		DialContext:         dialer.DialContext,
+		DialContext:         dial,
 		MaxConnsPerHost:     MaxConnections,
 		MaxIdleConnsPerHost: MaxConnections,
 		// A connection that the endpoint closes while a task is being sent leaves
--- a/internal/standin/executor/endpoint.go
+++ b/internal/standin/executor/endpoint.go
@@ -61,6 +61,8 @@
 	Speed float64
 	// Agent is the base URL of the agent; empty means no announcements.
 	Agent string
+	// HTTP announces; nil means http.DefaultClient.
+	HTTP *http.Client
 	// OnStart and OnEnd, if set, are called when a task starts and when it has
 	// run. The task is firm/service/submission#index, escaped as in the headers.
 	OnStart func(task string)
--- a/internal/standin/executor/serve.go
+++ b/internal/standin/executor/serve.go
@@ -123,9 +123,16 @@
 	if err != nil {
 		return fmt.Errorf("build announcement: %w", err)
 	}
-	response, err := http.DefaultClient.Do(request)
+	response, err := e.client().Do(request)
 	if err != nil {
 		return fmt.Errorf("announce: %w", err)
 	}
 	return response.Body.Close()
 }
+
+func (e *Endpoint) client() *http.Client {
+	if e.HTTP == nil {
+		return http.DefaultClient
+	}
+	return e.HTTP
+}
--- a/internal/transport/linker/linker.go
+++ b/internal/transport/linker/linker.go
@@ -54,6 +54,8 @@
 	// Listen is the UDP address, IP and port, to accept links on. A process
 	// without one only dials.
 	Listen string
+	// Socket, if set, replaces the one that Run would bind to Listen. Run closes it.
+	Socket net.PacketConn
 	// TLS comes from the authenticator package.
 	TLS     *tls.Config
 	Handler Handler
@@ -143,9 +145,12 @@
 	if err := checkHello(t.Hello); err != nil {
 		return nil, fmt.Errorf("own hello: %w", err)
 	}
-	socket, err := bind(t.Listen)
-	if err != nil {
-		return nil, err
+	socket := t.Socket
+	if socket == nil {
+		var err error
+		if socket, err = bind(t.Listen); err != nil {
+			return nil, err
+		}
 	}
 	t.quic = &quic.Transport{Conn: socket}
 	if t.Listen == "" {
