Write log lines whole, and log the room that the gate saw

The sink now writes at most 4 KiB at a time, which a pipe takes at once, and ends each write with a line. The gate's decisions now carry the size of the task, the room in use and the room there is, the inputs that decide them.

--- a/internal/daemon/launcher/agent_control.go
+++ b/internal/daemon/launcher/agent_control.go
@@ -160,6 +160,9 @@
 		zap.Int("attempt", d.Attempt),
 		zap.String("owner", string(d.Owner)),
 		zap.String("reason", string(d.Reason)),
+		zap.Int("milli_cpu", d.Size.MilliCPU),
+		zap.Int("taken_milli_cpu", d.Taken.MilliCPU),
+		zap.Int("capacity_milli_cpu", d.Capacity.MilliCPU),
 	)
 }
 
--- a/internal/daemon/launcher/log_sink.go
+++ b/internal/daemon/launcher/log_sink.go
@@ -1,6 +1,7 @@
 package launcher
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -15,6 +16,9 @@
 	// logFlushEvery is the time between writes. Fewer writes cost less processor
 	// time; a crash loses the lines of this time at most.
 	logFlushEvery = 100 * time.Millisecond
+	// logWriteBytes is the size up to which a write to a pipe is not split (PIPE_BUF
+	// on Linux). Collectors that read less at a time cut longer writes within a line.
+	logWriteBytes = 4096
 )
 
 // LogSink takes log lines without ever blocking: lines beyond its buffer are
@@ -56,8 +60,10 @@
 			time.Now().Format(time.RFC3339Nano), dropped)
 	}
 	var err error
-	if len(lines) > 0 {
-		_, err = l.Output.Write(lines)
+	for rest := lines; len(rest) > 0 && err == nil; {
+		whole := wholeLines(rest)
+		_, err = l.Output.Write(rest[:whole])
+		rest = rest[whole:]
 	}
 	l.mu.Lock()
 	l.spare = lines
@@ -68,6 +74,21 @@
 	return nil
 }
 
+// wholeLines returns the length of the lines at the start of text that fit into one
+// write, and at least that of the first line.
+func wholeLines(text []byte) int {
+	if len(text) <= logWriteBytes {
+		return len(text)
+	}
+	if end := bytes.LastIndexByte(text[:logWriteBytes], '\n'); end >= 0 {
+		return end + 1
+	}
+	if end := bytes.IndexByte(text, '\n'); end >= 0 {
+		return end + 1
+	}
+	return len(text)
+}
+
 // Run writes what waits until ctx ends, and then once more.
 func (l *LogSink) Run(ctx context.Context) error {
 	ticker := time.NewTicker(logFlushEvery)
--- a/internal/daemon/launcher/log_sink_test.go
+++ b/internal/daemon/launcher/log_sink_test.go
@@ -52,3 +52,37 @@
 		t.Errorf("%d bytes wait", len(sink.buffer))
 	}
 }
+
+// Guards against lines that a collector cuts in two: every write ends with a line
+// and is no longer than what a pipe takes at once.
+func TestLogSinkWritesWholeLines(t *testing.T) {
+	output := &pieces{}
+	sink := &LogSink{Output: output}
+	var want strings.Builder
+	for i := range 100 {
+		line := strings.Repeat("x", 150+i) + "\n"
+		want.WriteString(line)
+		if _, err := sink.Write([]byte(line)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := sink.Sync(); err != nil {
+		t.Fatal(err)
+	}
+	if strings.Join(output.written, "") != want.String() {
+		t.Error("the lines were not written as they came")
+	}
+	for _, piece := range output.written {
+		if len(piece) > logWriteBytes || !strings.HasSuffix(piece, "\n") {
+			t.Errorf("a write of %d bytes ends with %q", len(piece), piece[len(piece)-1:])
+		}
+	}
+}
+
+// pieces keeps each write apart.
+type pieces struct{ written []string }
+
+func (p *pieces) Write(data []byte) (int, error) {
+	p.written = append(p.written, string(data))
+	return len(data), nil
+}
--- a/internal/dispatch/gatekeeper/events.go
+++ b/internal/dispatch/gatekeeper/events.go
@@ -102,6 +102,11 @@
 	Owner   messenger.Incarnation   `json:"owner"`
 	Started bool                    `json:"started"`
 	Reason  messenger.RefusalReason `json:"reason,omitempty"`
+	// Size, Taken and Capacity are the room that the task asks for, the room of the
+	// running tasks before it, and that of the endpoint.
+	Size     messenger.Resources `json:"size,omitzero"`
+	Taken    messenger.Resources `json:"taken,omitzero"`
+	Capacity messenger.Resources `json:"capacity,omitzero"`
 }
 
 // Drained says that the graceful stop is complete.
--- a/internal/dispatch/gatekeeper/starts.go
+++ b/internal/dispatch/gatekeeper/starts.go
@@ -127,12 +127,18 @@
 }
 
 func (s *State) refuse(to messenger.Incarnation, m messenger.Start, reason messenger.RefusalReason, never bool) {
-	s.emit(Decision{Task: m.Task, Attempt: m.Attempt, Owner: m.Owner, Reason: reason})
+	s.decided(Decision{Task: m.Task, Attempt: m.Attempt, Owner: m.Owner, Reason: reason, Size: m.Size})
 	s.send(to, messenger.Refused{
 		Task: m.Task, Attempt: m.Attempt, Reason: reason, NeverStarted: never, Load: s.shortLoad(to),
 	})
 }
 
+// decided logs a decision of the gate with the room that it saw.
+func (s *State) decided(d Decision) {
+	d.Taken, d.Capacity = s.taken, s.endpoint.Capacity
+	s.emit(d)
+}
+
 // refuseForGood leaves a tombstone, which makes the refusal a proof.
 func (s *State) refuseForGood(to messenger.Incarnation, m messenger.Start, reason messenger.RefusalReason) {
 	r := s.newRecord(m)
@@ -177,12 +183,12 @@
 
 func (s *State) invoke(r *record) {
 	r.state = messenger.RecordRunning
+	s.decided(Decision{Task: r.task, Attempt: r.attempt, Owner: r.owner, Started: true, Size: r.size})
 	s.running++
 	s.taken = s.taken.Add(r.size)
 	if r.volatile {
 		s.live[runKey{task: r.task, run: r.run}] = r
 	}
-	s.emit(Decision{Task: r.task, Attempt: r.attempt, Owner: r.owner, Started: true})
 	s.emit(Invoke{
 		Task: r.task, Attempt: r.attempt, Payload: r.payload, TimeLeft: r.deadline.Sub(s.now),
 		Run: r.run, Position: r.position,
@@ -251,7 +257,7 @@
 	r.state = messenger.RecordTombstoned
 	r.stoppedByFence = s.fenced[r.owner] != nil && !r.repeatable
 	r.payload = nil
-	s.emit(Decision{Task: r.task, Attempt: r.attempt, Owner: r.owner, Reason: reason})
+	s.decided(Decision{Task: r.task, Attempt: r.attempt, Owner: r.owner, Reason: reason, Size: r.size})
 	for _, to := range s.listeners(r) {
 		s.send(to, messenger.Refused{
 			Task: r.task, Attempt: r.attempt, Reason: reason, NeverStarted: true, Load: s.shortLoad(to),
