Recall the endpoint after a restart of its agent

Ruled out: slow start of the entries (settings and links are there 0.1 s after their start); the wait for the former life's lease (an answer of the endpoint shows that nothing runs).

Change: an agent keeps what its endpoint announced in the row endpoint/NAME of the table, written once per boot and once per departure. After a restart it takes the row up when the endpoint answers from the same boot. A departure is confirmed only once it is kept, or a later life might start tasks on an endpoint that leaves; a late write of an earlier announcement finds that the row has changed.

--- a/internal/daemon/launcher/agent.go
+++ b/internal/daemon/launcher/agent.go
@@ -86,6 +86,10 @@
 		// The calls go on until the control goroutine has drained.
 		parts = slices.Insert(parts, 1, part{serviceEndpoint, control.endpoint.caller})
 	}
+	if a.Table != nil && control.endpoint != nil {
+		control.endpoint.archive = newEndpointArchive(a.Table, a.Config.Name, control, a.Logger)
+		parts = append(parts, part{serviceArchive, control.endpoint.archive})
+	}
 	if a.Table != nil {
 		parts = append(parts, part{serviceDirectory, &directoryReader{table: a.Table, control: control, logger: a.Logger}})
 	}
--- a/internal/daemon/launcher/agent_control.go
+++ b/internal/daemon/launcher/agent_control.go
@@ -72,8 +72,10 @@
 	gate     gatekeeper.Event
 	endpoint supervisor.Event
 	// announced is an announcement; taken is closed when it is acted on.
-	announced *Announcement
+	announced *supervisor.Announcement
 	taken     chan struct{}
+	// recalled is the announcement that an earlier life of this agent has kept.
+	recalled *supervisor.Announcement
 	// entries are entries that the table lists.
 	entries []messenger.EntryAddress
 }
@@ -93,6 +95,9 @@
 	case event.announced != nil:
 		defer close(event.taken)
 		return c.takeAnnouncement(now, *event.announced)
+	case event.recalled != nil:
+		c.endpoint.recalled = *event.recalled
+		return c.recall(now)
 	case event.entries != nil:
 		c.entries = event.entries
 		c.link()
--- a/internal/daemon/launcher/endpoint_control.go
+++ b/internal/daemon/launcher/endpoint_control.go
@@ -26,21 +26,11 @@
 	Lease time.Duration
 }
 
-// Announcement is what a leased endpoint says about itself.
-type Announcement struct {
-	Boot     supervisor.Boot
-	Service  string
-	Slots    int
-	Labels   []string
-	Capacity messenger.Resources
-	// Departing is true if the endpoint leaves and takes nothing new.
-	Departing bool
-}
-
 // AnnouncementSink takes the announcements of a leased endpoint. When it returns,
-// the gate acts on the announcement.
+// the gate acts on the announcement. An error means that a later life of the agent
+// might not: the announcement is not to be confirmed.
 type AnnouncementSink interface {
-	EndpointAnnounced(announcement Announcement)
+	EndpointAnnounced(announcement supervisor.Announcement) error
 }
 
 // endpointControl is the part of an agent's control that follows a leased endpoint.
@@ -48,8 +38,12 @@
 	state  *supervisor.State
 	caller *supervisor.Caller
 	// last is the last announcement, and lastAt when it came.
-	last   Announcement
+	last   supervisor.Announcement
 	lastAt time.Time
+	// recalled is what an earlier life of this agent has kept. It counts once the
+	// endpoint has answered from the same boot.
+	recalled supervisor.Announcement
+	archive  *endpointArchive
 	// linked is true once the entries may be dialed.
 	linked bool
 }
@@ -71,24 +65,40 @@
 }
 
 // EndpointAnnounced implements AnnouncementSink.
-func (c *agentControl) EndpointAnnounced(announcement Announcement) {
+func (c *agentControl) EndpointAnnounced(announcement supervisor.Announcement) error {
 	taken := make(chan struct{})
 	c.loop.post(agentEvent{announced: &announcement, taken: taken})
 	select {
 	case <-taken:
 	case <-c.loop.stopped:
 	}
+	if c.endpoint.archive == nil {
+		return nil
+	}
+	return c.endpoint.archive.announced(announcement)
 }
 
 // takeAnnouncement passes an announcement on to the gate if the endpoint can be
 // followed. A gate that opens earlier would take tasks that cannot be ordered.
-func (c *agentControl) takeAnnouncement(now time.Time, a Announcement) []agentEffect {
+func (c *agentControl) takeAnnouncement(now time.Time, a supervisor.Announcement) []agentEffect {
 	e := c.endpoint
 	e.last, e.lastAt = a, time.Now()
 	effects := endpointEffects(e.state.Handle(time.Now(), supervisor.Announced{Boot: a.Boot}))
 	return append(effects, c.announce(now)...)
 }
 
+// recall takes up what an earlier life of this agent has kept, if the endpoint has
+// not announced itself since and has answered from the same boot.
+func (c *agentControl) recall(now time.Time) []agentEffect {
+	e := c.endpoint
+	if !e.lastAt.IsZero() || e.recalled.Boot.Born == 0 || e.recalled.Boot.Born != e.state.Boot.Born {
+		return nil
+	}
+	c.logger.Info("announcement of an earlier life is taken up", zap.String("endpoint", e.recalled.Boot.ID),
+		zap.Int64("born", e.recalled.Boot.Born), zap.Bool("departing", e.recalled.Departing))
+	return c.takeAnnouncement(now, e.recalled)
+}
+
 // announce tells the gate what the last announcement said.
 func (c *agentControl) announce(now time.Time) []agentEffect {
 	e := c.endpoint
@@ -150,7 +160,7 @@
 		c.logger.Info("endpoint is followed",
 			zap.String("endpoint", e.Boot.ID), zap.String("address", e.Boot.Address), zap.Int64("born", e.Boot.Born))
 		c.link()
-		return c.carryOutAll(c.announce(now))
+		return c.carryOutAll(append(c.recall(now), c.announce(now)...))
 	case supervisor.Unready:
 		c.logger.Warn("endpoint is not followed", zap.String("reason", e.Reason))
 		return c.carryOutAll(gateEffects(c.state.Handle(now, gatekeeper.EndpointDeparting{})))
--- a/internal/daemon/launcher/launcher.go
+++ b/internal/daemon/launcher/launcher.go
@@ -40,6 +40,7 @@
 	serviceEndpoint  = "endpoint"
 	serviceDirectory = "directory"
 	serviceFront     = "front"
+	serviceArchive   = "archive"
 )
 
 // incarnationBytes makes a collision of two incarnations of one name negligible.
--- /dev/null
+++ b/internal/daemon/launcher/recall_test.go
@@ -0,0 +1,97 @@
+package launcher
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/burdockrudder/burdockrudder/internal/dispatch/gatekeeper"
+	"github.com/burdockrudder/burdockrudder/internal/dispatch/messenger"
+	"github.com/burdockrudder/burdockrudder/internal/edge/supervisor"
+)
+
+// reports keeps the last report to an entry.
+type reports struct{ last messenger.Report }
+
+func (r *reports) Run(context.Context) error           { return nil }
+func (r *reports) SetTargets([]messenger.EntryAddress) {}
+func (r *reports) Send(_ messenger.Incarnation, m messenger.Message) bool {
+	if report, ok := m.(messenger.Report); ok {
+		r.last = report
+	}
+	return true
+}
+
+// service is what entries may place tasks for.
+func (r *reports) service() string {
+	if r.last.Load.Draining {
+		return ""
+	}
+	return r.last.Load.Service
+}
+
+// silentEndpoint answers nothing; the test hands in the answers itself.
+type silentEndpoint struct{}
+
+func (silentEndpoint) Start(context.Context, supervisor.Start) (supervisor.Refusal, error) {
+	return "", supervisor.ErrNoAnswer
+}
+
+func (silentEndpoint) Stop(context.Context, supervisor.Stop) (supervisor.Refusal, error) {
+	return "", supervisor.ErrNoAnswer
+}
+
+func (silentEndpoint) Hold(ctx context.Context, _ supervisor.Hold) (supervisor.Lists, supervisor.Refusal, error) {
+	<-ctx.Done()
+	return supervisor.Lists{}, "", supervisor.ErrNoAnswer
+}
+
+// Guards against a restarted agent that waits for a heartbeat of an endpoint it
+// could follow at once, and against one that takes another boot for the known one.
+func TestRestartedAgentRecallsItsEndpoint(t *testing.T) {
+	kept := supervisor.Announcement{Boot: supervisor.Boot{ID: "i-1", Address: "endpoint", Born: 100}, Service: "dispatch", Slots: 8}
+	leaving := kept
+	leaving.Departing = true
+	recalled := agentEvent{recalled: &kept}
+	answered := func(born int64) agentEvent {
+		return agentEvent{endpoint: supervisor.HoldAnswered{Call: 1, Lists: supervisor.Lists{Born: born, Clock: time.Hour}}}
+	}
+	for _, scenario := range []struct {
+		name   string
+		events []agentEvent
+		// service is what the gate knows of the endpoint afterwards.
+		service string
+	}{
+		{"recalled, then answered", []agentEvent{recalled, answered(100)}, "dispatch"},
+		{"answered, then recalled", []agentEvent{answered(100), recalled}, "dispatch"},
+		{"nothing kept", []agentEvent{answered(100)}, ""},
+		{"no answer", []agentEvent{recalled}, ""},
+		{"another boot", []agentEvent{recalled, answered(200)}, ""},
+		{"departing", []agentEvent{{recalled: &leaving}, answered(100)}, ""},
+	} {
+		t.Run(scenario.name, func(t *testing.T) {
+			sent := &reports{}
+			c := &agentControl{
+				logger: zap.NewNop(), clock: newClock(), transport: sent, state: &gatekeeper.State{Name: "agent-1"},
+			}
+			c.prepare(time.Second)
+			c.supervise(&LeasedEndpoint{Address: "endpoint", Token: 1})
+			c.endpoint.caller.Endpoint = silentEndpoint{}
+			play := func(event agentEvent) {
+				for _, effect := range c.handle(c.clock.now(), event) {
+					c.carryOut(effect)
+				}
+			}
+			play(agentEvent{gate: gatekeeper.EntryLinked{Entry: "entry-1"}})
+			play(agentEvent{gate: gatekeeper.Tick{}})
+			for _, event := range scenario.events {
+				play(event)
+			}
+			if got := sent.service(); got != scenario.service {
+				t.Errorf("the entries hear of service %q, want %q", got, scenario.service)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/storage/archiver/archiver_test.go
@@ -0,0 +1,99 @@
+package archiver
+
+import (
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/burdockrudder/burdockrudder/internal/dispatch/messenger"
+	"github.com/burdockrudder/burdockrudder/internal/edge/supervisor"
+	"github.com/burdockrudder/burdockrudder/internal/standin/tablekeeper"
+	"github.com/burdockrudder/burdockrudder/internal/storage/storer"
+)
+
+var ready = supervisor.Announcement{
+	Boot: supervisor.Boot{ID: "i-1", Address: "10.0.0.9:8080", Born: 100}, Service: "dispatch", Slots: 8,
+	Labels: []string{"a"}, Capacity: messenger.Resources{MilliCPU: 16000, MemoryMB: 32768},
+}
+
+func departing() supervisor.Announcement {
+	announcement := ready
+	announcement.Departing = true
+	return announcement
+}
+
+// Guards against an agent that recalls an endpoint other than the one it knew last.
+func TestLaterLifeLoadsWhatWasKept(t *testing.T) {
+	table := &tablekeeper.Keeper{}
+	for _, announcement := range []supervisor.Announcement{ready, departing()} {
+		life := &Archive{Table: table, Agent: "agent-1"}
+		if _, _, err := life.Load(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		if err := life.Keep(t.Context(), announcement); err != nil {
+			t.Fatal(err)
+		}
+		got, found, err := (&Archive{Table: table, Agent: "agent-1"}).Load(t.Context())
+		if err != nil || !found {
+			t.Fatal(found, err)
+		}
+		if diff := cmp.Diff(announcement, got); diff != "" {
+			t.Error(diff)
+		}
+	}
+	if _, found, err := (&Archive{Table: table, Agent: "agent-2"}).Load(t.Context()); found || err != nil {
+		t.Errorf("another agent loads it: %v, %v", found, err)
+	}
+}
+
+// Guards against an archive that is written with each heartbeat.
+func TestKnownAnnouncementIsNotWritten(t *testing.T) {
+	table := &tablekeeper.Keeper{}
+	archive := &Archive{Table: table, Agent: "agent-1"}
+	for range 3 {
+		if err := archive.Keep(t.Context(), ready); err != nil {
+			t.Fatal(err)
+		}
+	}
+	rows, err := table.Read(t.Context(), []string{Prefix + "agent-1"})
+	if err != nil || len(rows) != 1 || rows[0].Revision != 1 {
+		t.Errorf("%+v, %v", rows, err)
+	}
+}
+
+// Guards against an announcement that comes back after a departure was kept: the
+// service may carry out a write seconds later.
+func TestLateWriteDoesNotUndoADeparture(t *testing.T) {
+	table := &tablekeeper.Keeper{}
+	archive := &Archive{Table: table, Agent: "agent-1"}
+	if err := archive.Keep(t.Context(), ready); err != nil {
+		t.Fatal(err)
+	}
+	late := storer.Put{Key: Prefix + "agent-1", Value: archive.row.Value, Expected: archive.row.Revision, Token: "late"}
+	if err := archive.Keep(t.Context(), departing()); err != nil {
+		t.Fatal(err)
+	}
+	results, err := table.Write(t.Context(), []storer.Put{late}, true)
+	if err != nil || results[0].Applied {
+		t.Fatalf("%+v, %v", results, err)
+	}
+	if got, _, _ := (&Archive{Table: table, Agent: "agent-1"}).Load(t.Context()); !got.Departing {
+		t.Error("the departure was undone")
+	}
+}
+
+// Guards against a row of another version that keeps the agent from writing.
+func TestUnreadableRowCountsAsNone(t *testing.T) {
+	table := &tablekeeper.Keeper{}
+	put := storer.Put{Key: Prefix + "agent-1", Value: []byte{0xff}, Token: "other"}
+	if _, err := table.Write(t.Context(), []storer.Put{put}, true); err != nil {
+		t.Fatal(err)
+	}
+	archive := &Archive{Table: table, Agent: "agent-1"}
+	if _, found, err := archive.Load(t.Context()); found || err != nil {
+		t.Fatal(found, err)
+	}
+	if err := archive.Keep(t.Context(), ready); err != nil {
+		t.Fatal(err)
+	}
+}
