Notice when the processor is short, and serve volatile jobs while starting

Admission counted the work that waits for endpoints and nothing of the time that calls, orders and results wait in the process itself.

Change: submissions carry the time at which they were read. The average lag counts three times in the estimate of the wait. An entry whose row the store does not take serves volatile jobs all the same; they need no row. Agents tell a changed load to an entry only if it has not just heard it with an answer.

--- a/internal/daemon/launcher/entry_call.go
+++ b/internal/daemon/launcher/entry_call.go
@@ -18,7 +18,7 @@
 func (c *entryControl) Call(ctx context.Context, event func(coordinator.CallID) coordinator.Event) (coordinator.Answer, error) {
 	call, answer := c.calls.open()
 	defer c.calls.close(call)
-	if !c.loop.post(event(call)) {
+	if !c.loop.post(c.dated(event(call))) {
 		return nil, ErrNotTaken
 	}
 	select {
@@ -37,3 +37,13 @@
 		return nil, ErrStopped
 	}
 }
+
+// dated notes when a submission was read, so that the decisions see how long it has
+// waited in this process.
+func (c *entryControl) dated(event coordinator.Event) coordinator.Event {
+	if submitted, ok := event.(coordinator.Submitted); ok {
+		submitted.ReceivedAt = c.clock.now()
+		return submitted
+	}
+	return event
+}
--- a/internal/dispatch/coordinator/dispatch.go
+++ b/internal/dispatch/coordinator/dispatch.go
@@ -83,9 +83,14 @@
 	}
 }
 
-// mayDispatch is false while this entry has not proved that it was not replaced.
+// mayDispatch is false while this entry has not proved that it was not replaced. One
+// that starts has only volatile jobs, which need no proof.
 func (s *State) mayDispatch() bool {
-	return !s.unproved && (s.lifeCycle.Is(entryActive) || s.lifeCycle.Is(entryDraining))
+	switch s.lifeCycle.Current() {
+	case entryStarting, entryActive, entryDraining:
+		return !s.unproved
+	}
+	return false
 }
 
 // dispatch sends waiting tasks while slots are thought to be free. The classes
--- a/internal/dispatch/coordinator/effects.go
+++ b/internal/dispatch/coordinator/effects.go
@@ -106,6 +106,10 @@
 	DecisionEject    DecisionKind = "eject"
 	DecisionProbe    DecisionKind = "probe"
 	DecisionOverdue  DecisionKind = "overdue"
+	// DecisionStrained and DecisionRelieved: the entry has too little processor time
+	// for its calls, or has enough again.
+	DecisionStrained DecisionKind = "strained"
+	DecisionRelieved DecisionKind = "relieved"
 )
 
 // Drained says that the graceful stop is complete.
--- a/internal/dispatch/coordinator/events.go
+++ b/internal/dispatch/coordinator/events.go
@@ -20,6 +20,8 @@
 type Submitted struct {
 	Call       CallID               `json:"call"`
 	Submission messenger.Submission `json:"submission"`
+	// ReceivedAt is when the call was read; zero if that is not known.
+	ReceivedAt time.Time `json:"received_at,omitzero"`
 }
 
 // Queried asks for the outcome of a submission. With Wait the reply comes when
--- a/internal/dispatch/coordinator/objective.go
+++ b/internal/dispatch/coordinator/objective.go
@@ -77,6 +77,7 @@
 		}
 		delay = max(delay, c.delay(s.now, j.submission.Priority))
 	}
+	delay += lagPasses * s.lag()
 	return delay, delay > time.Duration(admittedSlack*float64(j.objective.slack()))
 }
 
--- a/internal/dispatch/coordinator/overload_test.go
+++ b/internal/dispatch/coordinator/overload_test.go
@@ -51,6 +51,12 @@
 	refused int
 	// slowest is the longest time to a refusal.
 	slowest time.Duration
+	// cost is the processor time for reading a call, for an order and for a result;
+	// busyUntil is when the processor has done what it has.
+	cost      time.Duration
+	busyUntil time.Time
+	// strained is true once the entry has told its balancer that it is strained.
+	strained bool
 }
 
 type overloadEvent struct {
@@ -78,6 +84,15 @@
 	heap.Push(&o.agenda, overloadEvent{at: o.now.Add(d), seq: o.seq, do: do})
 }
 
+// compute does something once the processor has done what came before.
+func (o *overload) compute(do func()) {
+	if o.busyUntil.Before(o.now) {
+		o.busyUntil = o.now
+	}
+	o.busyUntil = o.busyUntil.Add(o.cost)
+	o.after(o.busyUntil.Sub(o.now), do)
+}
+
 func (o *overload) handle(event Event) {
 	for _, effect := range o.state.Handle(o.now, event) {
 		switch e := effect.(type) {
@@ -85,7 +100,8 @@
 			o.after(0, func() { o.handle(LeaseRenewed{Renewal: e.Renewal}) })
 		case Send:
 			if start, ok := e.Message.(messenger.Start); ok {
-				o.start(string(e.To), start)
+				o.running[string(e.To)] += taskMilli
+				o.compute(func() { o.start(string(e.To), start) })
 			}
 		case Reply:
 			o.answered(e)
@@ -94,7 +110,6 @@
 }
 
 func (o *overload) start(agent string, start messenger.Start) {
-	o.running[agent] += taskMilli
 	if o.running[agent] > overloadMilli {
 		o.t.Fatalf("%s has %d milli-cores of work", agent, o.running[agent])
 	}
@@ -102,10 +117,11 @@
 	run := time.Duration(float64(taskTime) * (0.6 + 0.8*o.random.Float64()))
 	o.after(run, func() {
 		o.running[agent] -= taskMilli
-		o.handle(Received{From: messenger.Incarnation(agent), Message: messenger.Finished{
+		finished := Received{From: messenger.Incarnation(agent), Message: messenger.Finished{
 			Task: start.Task, Attempt: start.Attempt, RunTime: run,
 			Outcome: messenger.TaskOutcome{State: messenger.TaskSucceeded}, Load: o.load(agent),
-		}})
+		}}
+		o.compute(func() { o.handle(finished) })
 	})
 }
 
@@ -145,7 +161,8 @@
 			Size:            messenger.Resources{MilliCPU: taskMilli},
 		})
 	}
-	o.handle(Submitted{Call: call, Submission: submission})
+	receivedAt := o.now
+	o.compute(func() { o.handle(Submitted{Call: call, Submission: submission, ReceivedAt: receivedAt}) })
 }
 
 func (o *overload) play(pattern arrivalPattern) (offered int) {
@@ -182,6 +199,7 @@
 	sequence := uint64(0)
 	tick = func() {
 		o.handle(Tick{})
+		o.strained = o.strained || o.state.View().Strained
 		sequence++
 		for i := range overloadEndpoints {
 			name := fmt.Sprint("a", i)
@@ -214,23 +232,36 @@
 	} {
 		t.Run(pattern.name, func(t *testing.T) {
 			const seed = 1
-			o := &overload{
-				t: t, now: time.Unix(1_000_000, 0), random: rand.New(rand.NewPCG(seed, 2)),
-				running: map[string]int{}, asked: map[CallID]time.Time{},
-				state: &State{Config: Defaults("e1", "e1", "e1"), Random: rand.New(rand.NewPCG(seed, seed))},
-			}
-			o.state.Config.EntryLease = time.Hour
+			o := newOverload(t, seed)
 			offered := o.play(pattern)
 			t.Logf("seed %d: offered %d, timely %d, late %d, refused %d", seed, offered, o.timely, o.late, o.refused)
-			if got := o.timely + o.late + o.refused; got != offered {
-				t.Errorf("%d of %d jobs were answered", got, offered)
-			}
-			if share := float64(o.timely) / float64(offered); share < pattern.timely {
-				t.Errorf("%.2f of the jobs met the objective, the bound is %.2f", share, pattern.timely)
-			}
-			if o.slowest > 0 && o.slowest > overloadObjective {
-				t.Errorf("a refusal took %v", o.slowest)
+			o.check(pattern, offered)
+			if o.strained {
+				t.Error("the entry sends callers elsewhere although its processor has time to spare")
 			}
 		})
 	}
 }
+
+func newOverload(t *testing.T, seed uint64) *overload {
+	o := &overload{
+		t: t, now: time.Unix(1_000_000, 0), random: rand.New(rand.NewPCG(seed, 2)),
+		running: map[string]int{}, asked: map[CallID]time.Time{},
+		state: &State{Config: Defaults("e1", "e1", "e1"), Random: rand.New(rand.NewPCG(seed, seed))},
+	}
+	o.state.Config.EntryLease = time.Hour
+	return o
+}
+
+func (o *overload) check(pattern arrivalPattern, offered int) {
+	o.t.Helper()
+	if got := o.timely + o.late + o.refused; got != offered {
+		o.t.Errorf("%d of %d jobs were answered", got, offered)
+	}
+	if share := float64(o.timely) / float64(offered); share < pattern.timely {
+		o.t.Errorf("%.2f of the jobs met the objective, the bound is %.2f", share, pattern.timely)
+	}
+	if o.slowest > 0 && o.slowest > overloadObjective {
+		o.t.Errorf("a refusal took %v", o.slowest)
+	}
+}
--- a/internal/dispatch/coordinator/script_test.go
+++ b/internal/dispatch/coordinator/script_test.go
@@ -158,7 +158,9 @@
 	for _, name := range sortedKeys(d.peers) {
 		d.handle(PeerLinked{Name: name, Incarnation: messenger.Incarnation(name)})
 	}
-	d.keep(step.At+2*time.Second, nil)
+	if !step.Has("fresh") {
+		d.keep(step.At+2*time.Second, nil)
+	}
 }
 
 func isComma(r rune) bool { return r == ',' }
--- a/internal/dispatch/coordinator/snapshot.go
+++ b/internal/dispatch/coordinator/snapshot.go
@@ -12,7 +12,9 @@
 type Snapshot struct {
 	Incarnation messenger.Incarnation `json:"incarnation"`
 	// LifeCycle is starting, active, suspended, draining or stopped.
-	LifeCycle           string    `json:"life_cycle"`
+	LifeCycle string `json:"life_cycle"`
+	// Strained is true if the entry has too little processor time for its calls.
+	Strained            bool      `json:"strained,omitempty"`
 	SettingsVersion     uint64    `json:"settings_version"`
 	SettingsConfirmedAt time.Time `json:"settings_confirmed_at"`
 	// LeaseRenewedAt is when this entry last renewed its row in the table.
--- a/internal/dispatch/coordinator/state.go
+++ b/internal/dispatch/coordinator/state.go
@@ -71,6 +71,7 @@
 	settled       []*job
 	hedgeable     []*job
 	overdueLooked time.Time
+	strain        strain
 	storeDown     bool
 	// pending counts the jobs of each queue of which no task has been sent.
 	pending map[string]int
@@ -120,6 +121,7 @@
 	case Tick:
 		s.tick()
 	case Submitted:
+		s.noteLag(e.ReceivedAt)
 		s.callKeys[e.Call] = e.Submission.Key
 		s.submit(waiter{call: e.Call, wait: true}, e.Submission)
 	case Queried:
--- a/internal/dispatch/coordinator/tick.go
+++ b/internal/dispatch/coordinator/tick.go
@@ -9,6 +9,7 @@
 	s.hedge()
 	s.moveOverdue()
 	s.refuseWorthless()
+	s.watchStrain()
 	s.watchRemotes()
 	s.expireCancels()
 	s.expireTickets()
--- a/internal/dispatch/coordinator/view.go
+++ b/internal/dispatch/coordinator/view.go
@@ -17,6 +17,7 @@
 	}
 	if s.lifeCycle != nil {
 		view.LifeCycle = s.lifeCycle.Current()
+		view.Strained = s.strain.strained
 		view.Counters.Ejections = s.index.Ejections()
 	}
 	view.PendingByQueue = maps.Clone(s.pending)
--- a/internal/dispatch/coordinator/volatile.go
+++ b/internal/dispatch/coordinator/volatile.go
@@ -28,7 +28,7 @@
 // submitVolatile admits or refuses at once; nothing is read or written.
 func (s *State) submitVolatile(w waiter, submission messenger.Submission) {
 	key := submission.Key
-	if !s.lifeCycle.Is(entryActive) && !s.lingers() {
+	if !s.admitsVolatile() {
 		s.refuseVolatile(w, key, messenger.CodeNotRun, "this entry is "+s.lifeCycle.Current())
 		return
 	}
@@ -42,6 +42,12 @@
 	}
 }
 
+// admitsVolatile tells whether volatile submissions are admitted at all. They need no
+// row of this entry, so that it serves them while the store keeps it from starting.
+func (s *State) admitsVolatile() bool {
+	return s.lifeCycle.Is(entryStarting) || s.lifeCycle.Is(entryActive) || s.lingers()
+}
+
 // admitVolatile starts a job unless it would miss its objective.
 func (s *State) admitVolatile(w waiter, submission messenger.Submission, settings resolver.Resolved) {
 	key := submission.Key
--- a/internal/dispatch/gatekeeper/reports.go
+++ b/internal/dispatch/gatekeeper/reports.go
@@ -29,23 +29,34 @@
 
 // reportLoad tells the entries that do not know the present load. Without it, an
 // entry would learn only from the next report that another one has filled or left
-// a slot. These reports repeat the sequence, which dates the settings.
+// a slot. One that has just been told with an answer waits for its turn. These
+// reports repeat the sequence, which dates the settings.
 func (s *State) reportLoad() {
-	interval := s.LoadReportInterval * time.Duration(len(s.entries))
-	if s.sequence == 0 || s.now.Sub(s.loadToldAt) < interval {
+	if s.sequence == 0 {
 		return
 	}
-	load := s.running + len(s.queue)
-	for _, entry := range s.sortedEntries() {
-		if s.entries[entry].told != load {
-			s.sendReport(entry)
-			s.loadToldAt = s.now
+	var due []messenger.Incarnation
+	for entry, l := range s.entries {
+		if s.isOutdated(l) {
+			due = append(due, entry)
 		}
 	}
+	slices.Sort(due)
+	for _, entry := range due {
+		s.sendReport(entry)
+	}
+}
+
+// isOutdated tells whether an entry has a load in mind that is neither right nor
+// recent.
+func (s *State) isOutdated(l *listener) bool {
+	interval := s.LoadReportInterval * time.Duration(len(s.entries))
+	return l.told != s.running+len(s.queue) && s.now.Sub(l.toldAt) >= interval
 }
 
 func (s *State) sendReport(entry messenger.Incarnation) {
-	s.entries[entry].told = s.running + len(s.queue)
+	l := s.entries[entry]
+	l.told, l.toldAt = s.running+len(s.queue), s.now
 	s.send(entry, messenger.Report{
 		Sequence:        s.sequence,
 		Load:            s.load(),
--- a/internal/dispatch/gatekeeper/state.go
+++ b/internal/dispatch/gatekeeper/state.go
@@ -56,8 +56,6 @@
 	sentAt     [reportTimes]time.Time
 	reportedAt time.Time
 	entries    map[messenger.Incarnation]*listener
-	// loadToldAt is when a changed load was last reported.
-	loadToldAt time.Time
 
 	records  map[messenger.TaskKey]*record
 	expiring []expiry
@@ -116,8 +114,10 @@
 
 // listener is a linked entry.
 type listener struct {
-	// told is the load that the entry knows of, running and queued.
-	told int
+	// told is the load that the entry knows of, running and queued, and toldAt when it
+	// was told.
+	told   int
+	toldAt time.Time
 }
 
 type expiry struct {
@@ -239,7 +239,7 @@
 func (s *State) shortLoad(to messenger.Incarnation) messenger.EndpointLoad {
 	load := s.load()
 	if l := s.entries[to]; l != nil {
-		l.told = load.Running + load.Queued
+		l.told, l.toldAt = load.Running+load.Queued, s.now
 	}
 	load.Service = ""
 	load.Labels = nil
