--- a/internal/edge/shedder/shedder_test.go
+++ b/internal/edge/shedder/shedder_test.go
@@ -77,7 +77,9 @@
 	stopping.LifeCycle = "draining"
 	s := &Shedder{}
 	now := time.Unix(1_000_000, 0)
-	if !s.Closes(stopping, now) || !s.Closes(stopping, now) {
-		t.Error("a connection stays open")
+	for range 2 {
+		if !s.Closes(stopping, now) {
+			t.Error("a connection stays open")
+		}
 	}
 }
