Let no repeated write undo a kept departure

Found on the last read: a ready announcement whose write failed in an outage is repeated every 500 ms, also after the endpoint has announced its departure and that was kept and confirmed. The row then said that the endpoint stays, and an agent that restarted within that boot would have started tasks there. Keep now leaves a departure of the same boot as it is. The new test failed before.

--- a/internal/storage/archiver/archiver.go
+++ b/internal/storage/archiver/archiver.go
@@ -66,9 +66,9 @@
 	return nil
 }
 
-// Keep writes an announcement unless it is kept already. When it returns without
-// an error, no earlier announcement will be loaded any more: a write that the
-// service carries out late finds that the row has changed.
+// Keep writes an announcement unless it is kept already or says less than what is
+// kept. When it returns without an error, no earlier announcement will be loaded any
+// more: a write that the service carries out late finds that the row has changed.
 func (a *Archive) Keep(ctx context.Context, announcement supervisor.Announcement) error {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -77,7 +77,7 @@
 		return fmt.Errorf("encode announcement: %w", err)
 	}
 	for range maxTries + 1 {
-		if reflect.DeepEqual(a.kept, announcement) {
+		if reflect.DeepEqual(a.kept, announcement) || isOvertaken(announcement, a.kept) {
 			return nil
 		}
 		put := storer.Put{Key: Prefix + a.Agent, Value: value, Expected: a.row.Revision, Token: rand.Text()}
@@ -95,3 +95,9 @@
 	}
 	return fmt.Errorf("keep announcement: %w", errChanging)
 }
+
+// isOvertaken tells whether an announcement was made before the departure that is
+// kept: an endpoint that departs does not come back in the same boot.
+func isOvertaken(announcement, kept supervisor.Announcement) bool {
+	return kept.Departing && !announcement.Departing && kept.Boot.Born == announcement.Boot.Born
+}
--- a/internal/storage/archiver/archiver_test.go
+++ b/internal/storage/archiver/archiver_test.go
@@ -97,3 +97,26 @@
 		t.Fatal(err)
 	}
 }
+
+// Guards against a departure that an earlier announcement of the same boot undoes: its
+// write may have failed in an outage and be repeated after the departure.
+func TestRepeatedWriteDoesNotUndoADeparture(t *testing.T) {
+	table := &tablekeeper.Keeper{}
+	archive := &Archive{Table: table, Agent: "agent-1"}
+	for _, announcement := range []supervisor.Announcement{departing(), ready} {
+		if err := archive.Keep(t.Context(), announcement); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if got, _, _ := (&Archive{Table: table, Agent: "agent-1"}).Load(t.Context()); !got.Departing {
+		t.Error("the departure was undone")
+	}
+	next := ready
+	next.Boot.Born++
+	if err := archive.Keep(t.Context(), next); err != nil {
+		t.Fatal(err)
+	}
+	if got, _, _ := (&Archive{Table: table, Agent: "agent-1"}).Load(t.Context()); got.Departing || got.Boot != next.Boot {
+		t.Errorf("the next boot was not kept: %+v", got)
+	}
+}
