Let the state of an entry be asked for while it starts

In the synctest bubble nothing else orders the two; over sockets the first poll came late enough to be ordered by chance. Ruled out: the network in memory (neither trace touches it); the entry's published state itself, which is an atomic pointer; the agent, whose control is never shared.

--- a/internal/daemon/launcher/entry.go
+++ b/internal/daemon/launcher/entry.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/uber-go/tally/v4"
@@ -53,7 +54,8 @@
 	// Adjust, if set, changes the timing of the decisions.
 	Adjust func(*coordinator.Config)
 
-	control *entryControl
+	// control is set by Run while Snapshot may already be called.
+	control atomic.Pointer[entryControl]
 }
 
 // Run runs the entry until ctx ends, then drains and returns.
@@ -75,7 +77,7 @@
 	if err != nil {
 		return nil, err
 	}
-	e.control = control
+	e.control.Store(control)
 	parts := []part{
 		{serviceTransport, e.Transport(control)},
 		{serviceJournal, e.newJournal(control)},
@@ -194,8 +196,9 @@
 
 // Snapshot returns the last published state, nil before the first.
 func (e *Entry) Snapshot() *coordinator.Snapshot {
-	if e.control == nil {
+	control := e.control.Load()
+	if control == nil {
 		return nil
 	}
-	return e.control.Snapshot()
+	return control.Snapshot()
 }
