Share one endpoint model between the tests

Cause: the model test of the supervisor and the stand-in of the soak each held a copy of the endpoint's rules (token, lease, forbidden runs, list of ends). A model of job ownership needs them a third time, without I/O. The model test is stricter in one point: an order of any kind, not only a hold, counts as contact with a boot, after which no finished run may start. Ruled out: a fake of its own for the ownership model, which would drift. Before and after: go test ./internal/edge/supervisor passes; with the token of a new boot not raised, or with the lapse expected after half a lease, it fails as before.

--- a/internal/edge/supervisor/lossy_test.go
+++ b/internal/edge/supervisor/lossy_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/burdockrudder/burdockrudder/internal/dispatch/messenger"
+	"github.com/burdockrudder/burdockrudder/internal/proof/lessor"
 )
 
 // Pattern: a busy endpoint that leaves one call in twenty unanswered
@@ -35,8 +36,9 @@
 		switch f := effect.(type) {
 		case CallStart:
 			e.answer(50*time.Millisecond, func() Event {
-				e.running[f.Start.Run] = e.now
-				e.after(lossyRunTime, func() { e.finish(f.Start.Run) })
+				run := e.leased(f.Start.Run)
+				e.endpoint.Start(e.now, run, f.Start.Token, f.Start.Until)
+				e.after(lossyRunTime, func() { e.finish(f.Start.Run, run) })
 				return StartAnswered{Run: f.Start.Run}
 			}, StartAnswered{Run: f.Start.Run, NoAnswer: true})
 		case CallStop:
@@ -54,10 +56,10 @@
 	}
 }
 
-func (e *lossyEndpoint) finish(r Run) {
-	if _, runs := e.running[r]; runs {
+func (e *lossyEndpoint) finish(r Run, run lessor.Run) {
+	if e.endpoint.Runs(run) {
 		e.endedAt[r] = e.now
-		e.list(r, EndDone)
+		e.endpoint.Finish(e.now, run, lessor.EndDone)
 	}
 }
 
@@ -79,7 +81,7 @@
 	until := e.now.Add(f.Hold.Wait)
 	var poll func()
 	poll = func() {
-		if e.ends == f.Hold.Observed && e.now.Before(until) {
+		if e.endpoint.LastEnd() == f.Hold.Observed && e.now.Before(until) {
 			e.after(time.Millisecond, poll)
 			return
 		}
--- a/internal/edge/supervisor/model_test.go
+++ b/internal/edge/supervisor/model_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/burdockrudder/burdockrudder/internal/dispatch/messenger"
+	"github.com/burdockrudder/burdockrudder/internal/proof/lessor"
 	"github.com/burdockrudder/burdockrudder/internal/proof/scheduler"
 )
 
@@ -21,13 +22,9 @@
 	schedule scheduler.Schedule
 
 	born     int64
-	bootAt   time.Time
-	token    uint64
-	until    time.Duration
-	running  map[Run]time.Time
-	tombs    map[string]int
-	ended    []End
-	ends     int
+	endpoint lessor.Endpoint
+	// names finds the run that an order at the endpoint stands for.
+	names    map[lessor.Run]Run
 	finished map[Run]bool
 	open     map[Run]bool
 	invoked  int
@@ -43,113 +40,83 @@
 
 func (m *model) after(d time.Duration, do func()) { m.schedule.Add(m.now.Add(d), do) }
 
-// clock is the endpoint's own, 2% slow.
-func (m *model) clock() time.Duration {
-	return time.Hour + m.now.Sub(m.bootAt)*98/100
-}
-
-func taskOf(r Run) string { return fmt.Sprint(r.Job, r.Position) }
-
-func (m *model) list(r Run, kind EndKind) {
-	m.ends++
-	m.ended = append(m.ended, End{Number: m.ends, Run: r, Kind: kind})
-	delete(m.running, r)
-	m.tombs[taskOf(r)] = max(m.tombs[taskOf(r)], r.Number)
+// leased is the run as the endpoint knows it.
+func (m *model) leased(r Run) lessor.Run {
+	name := lessor.Run{Task: fmt.Sprint(r.Job, r.Position), Number: r.Number}
+	m.names[name] = r
+	return name
 }
 
 func (m *model) boot() {
+	if m.names == nil {
+		m.names = map[lessor.Run]Run{}
+		m.endpoint = lessor.Endpoint{ClockStart: time.Hour, ClockPercent: 98}
+	}
 	m.born++
-	m.bootAt = m.now
-	m.token, m.until, m.ends = 0, 0, 0
 	m.contacted, m.formerToken = false, m.state.Token
-	m.running, m.tombs, m.ended = map[Run]time.Time{}, map[string]int{}, nil
-}
-
-func (m *model) lapse() {
-	if m.clock() > m.until {
-		for r := range m.running {
-			m.list(r, EndLapsed)
-		}
-	}
-}
-
-func (m *model) extend(until time.Duration) {
-	m.until = max(m.until, min(until, m.clock()+time.Second))
+	m.endpoint.OnContact = func(token uint64) { m.contacted = m.contacted || token > m.formerToken }
+	m.endpoint.Boot(m.now)
 }
 
 func (m *model) start(s Start) Refusal {
-	m.lapse()
-	switch {
-	case s.Token < m.token:
-		return RefusedFence
-	case s.Run.Number <= m.tombs[taskOf(s.Run)]:
-		return RefusedOld
-	case s.Until < m.clock():
-		return RefusedLate
+	run := m.leased(s.Run)
+	if refusal := m.endpoint.Start(m.now, run, s.Token, s.Until); refusal != "" {
+		return refusalOf(refusal)
 	}
-	m.token = s.Token
-	m.extend(s.Until)
 	if m.finished[s.Run] && m.contacted {
 		m.t.Fatalf("%v: %v starts after its end was reported", m.now, s.Run)
 	}
 	if m.finished[s.Run] {
 		// An order for the former boot, carried out by one that the agent has not
 		// reached yet: nothing can refuse it, so it has to be ended soon.
-		m.expectGone(s.Run)
+		m.expectGone(run)
 	}
-	m.running[s.Run] = m.now
-	r, born := s.Run, m.born
+	born := m.born
 	m.after(time.Duration(20+m.random.IntN(400))*time.Millisecond, func() {
-		m.lapse()
-		if _, runs := m.running[r]; runs && m.born == born {
-			m.list(r, EndDone)
+		if m.born == born {
+			m.endpoint.Finish(m.now, run, lessor.EndDone)
 		}
 	})
 	return ""
 }
 
+func refusalOf(refusal lessor.Refusal) Refusal {
+	switch refusal {
+	case lessor.RefusedFence:
+		return RefusedFence
+	case lessor.RefusedOld:
+		return RefusedOld
+	case lessor.RefusedLate:
+		return RefusedLate
+	}
+	return ""
+}
+
 // expectGone checks that a run that nobody wants is ended within a lease.
-func (m *model) expectGone(r Run) {
+func (m *model) expectGone(run lessor.Run) {
+	born, at := m.born, m.now
 	m.after(time.Second, func() {
-		m.lapse()
-		if at, runs := m.running[r]; runs && !m.now.Before(m.down) && m.now.Sub(at) >= time.Second {
-			m.t.Fatalf("%v: %v was never asked for in this boot and still runs", m.now, r)
+		m.endpoint.Lapse(m.now)
+		if m.born == born && m.endpoint.Runs(run) && !m.now.Before(m.down) {
+			m.t.Fatalf("%v: %v was never asked for in this boot and runs since %v", m.now, run, at)
 		}
 	})
 }
 
 func (m *model) stop(s Stop) Refusal {
-	m.lapse()
-	if s.Token < m.token {
-		return RefusedFence
-	}
-	m.token = s.Token
-	if _, runs := m.running[s.Run]; runs {
-		m.list(s.Run, EndStopped)
-		return ""
-	}
-	m.tombs[taskOf(s.Run)] = max(m.tombs[taskOf(s.Run)], s.Run.Number)
-	return ""
+	return refusalOf(m.endpoint.Stop(m.now, m.leased(s.Run), s.Token))
 }
 
 func (m *model) hold(h Hold) (Lists, Refusal) {
-	m.lapse()
-	if h.Token < m.token {
-		return Lists{}, RefusedFence
-	}
-	m.token = h.Token
-	m.contacted = m.contacted || h.Token > m.formerToken
-	if h.Until > 0 {
-		m.extend(h.Until)
+	if refusal := m.endpoint.Hold(m.now, h.Token, h.Until, h.Observed); refusal != "" {
+		return Lists{}, refusalOf(refusal)
 	}
-	lists := Lists{Born: m.born, Clock: m.clock()}
-	for r := range m.running {
-		lists.Running = append(lists.Running, r)
+	lists := Lists{Born: m.born, Clock: m.endpoint.Clock(m.now)}
+	for _, run := range m.endpoint.Running() {
+		lists.Running = append(lists.Running, m.names[run])
 	}
-	for _, e := range m.ended {
-		if e.Number > h.Observed {
-			lists.Ended = append(lists.Ended, e)
-		}
+	for _, end := range m.endpoint.Ended() {
+		lists.Ended = append(lists.Ended, End{Number: end.Number, Run: m.names[end.Run], Kind: EndKind(end.Kind)})
 	}
 	return lists, ""
 }
@@ -212,8 +179,8 @@
 		m.t.Fatalf("%v: %v ended twice", m.now, e.Run)
 	}
 	delete(m.open, e.Run)
-	m.lapse()
-	if _, runs := m.running[e.Run]; runs && !m.now.Before(m.down) {
+	m.endpoint.Lapse(m.now)
+	if m.endpoint.Runs(m.leased(e.Run)) && !m.now.Before(m.down) {
 		m.t.Fatalf("%v: %v was reported as %s and still runs", m.now, e.Run, e.Outcome.State)
 	}
 	m.finished[e.Run] = true
