--- a/internal/daemon/launcher/endpoint_archive.go
+++ b/internal/daemon/launcher/endpoint_archive.go
@@ -93,11 +93,10 @@
 // announced keeps an announcement. It waits for the row of a departure: until that
 // is kept, a later life of this agent would take the endpoint for one that stays.
 func (e *endpointArchive) announced(announcement supervisor.Announcement) error {
+	e.forget()
 	if announcement.Departing {
-		e.forget()
 		return e.keep(context.Background(), announcement)
 	}
-	e.forget()
 	e.ready <- announcement
 	return nil
 }
--- a/internal/dispatch/coordinator/admit.go
+++ b/internal/dispatch/coordinator/admit.go
@@ -240,11 +240,8 @@
 }
 
 func withoutCall(waiters []waiter, call CallID) []waiter {
-	kept := waiters[:0]
-	for _, w := range waiters {
-		if w.peer != "" || w.call != call {
-			kept = append(kept, w)
-		}
-	}
-	return kept
+	return slices.DeleteFunc(waiters, func(w waiter) bool { return w.isCall(call) })
 }
+
+// isCall tells whether a waiter is a call of this entry's own.
+func (w waiter) isCall(call CallID) bool { return w.peer == "" && w.call == call }
--- a/internal/dispatch/coordinator/objective.go
+++ b/internal/dispatch/coordinator/objective.go
@@ -69,8 +69,14 @@
 		return 0, false
 	}
 	var delay time.Duration
+	var checked *class
 	for i := range j.tasks {
 		c := s.classOf(j, j.submission.Tasks[i].Labels)
+		if c == checked {
+			// The tasks of a step ask for the same labels.
+			continue
+		}
+		checked = c
 		if s.hasRoomFor(j, c) {
 			// What waits is held back for faster endpoints.
 			continue
--- a/internal/dispatch/coordinator/overload_test.go
+++ b/internal/dispatch/coordinator/overload_test.go
@@ -153,10 +153,7 @@
 		}
 	}
 	end := o.now.Add(time.Second + pattern.span + 5*time.Second)
-	for step, more := o.schedule.Next(end); more; step, more = o.schedule.Next(end) {
-		o.now = step.At
-		step.Do()
-	}
+	o.schedule.Play(&o.now, end)
 	return offered
 }
 
--- a/internal/dispatch/coordinator/volatile.go
+++ b/internal/dispatch/coordinator/volatile.go
@@ -3,6 +3,7 @@
 import (
 	"container/heap"
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/burdockrudder/burdockrudder/internal/dispatch/messenger"
@@ -259,13 +260,7 @@
 
 // abandon gives up a volatile job that nobody waits for any more.
 func (s *State) abandon(j *job, call CallID) {
-	kept := j.successors[:0]
-	for _, next := range j.successors {
-		if next.waiter.peer != "" || next.waiter.call != call {
-			kept = append(kept, next)
-		}
-	}
-	j.successors = kept
+	j.successors = slices.DeleteFunc(j.successors, func(next successor) bool { return next.waiter.isCall(call) })
 	if j.submission.Volatile && len(j.waiters) == 0 && j.lifeCycle.Is(jobRunning) {
 		s.giveUp(j, reasonCallerLeft)
 	}
--- a/internal/dispatch/placer/collision_test.go
+++ b/internal/dispatch/placer/collision_test.go
@@ -137,10 +137,7 @@
 		}
 	}
 	end := c.now.Add(2 * collidingSpan)
-	for step, more := c.schedule.Next(end); more; step, more = c.schedule.Next(end) {
-		c.now = step.At
-		step.Do()
-	}
+	c.schedule.Play(&c.now, end)
 }
 
 // Guards against entries that all choose the endpoints that look fastest, and meet
--- a/internal/edge/supervisor/model_test.go
+++ b/internal/edge/supervisor/model_test.go
@@ -258,8 +258,5 @@
 
 // advance plays what is due before end.
 func (m *model) advance(end time.Time) {
-	for step, more := m.schedule.Next(end); more; step, more = m.schedule.Next(end) {
-		m.now = step.At
-		step.Do()
-	}
+	m.schedule.Play(&m.now, end)
 }
--- a/internal/proof/driver/driver.go
+++ b/internal/proof/driver/driver.go
@@ -154,10 +154,7 @@
 // Run advances the run to the given time since its start.
 func (w *World) Run(until time.Duration) {
 	end := w.begin.Add(until)
-	for next, ok := w.schedule.Next(end); ok; next, ok = w.schedule.Next(end) {
-		w.now = next.At
-		next.Do()
-	}
+	w.schedule.Play(&w.now, end)
 	w.now = end
 }
 
--- a/internal/proof/meter/world.go
+++ b/internal/proof/meter/world.go
@@ -117,10 +117,7 @@
 // run handles everything that is due until the given time since the start.
 func (w *world) run(until time.Duration) {
 	end := w.begin.Add(until)
-	for next, ok := w.schedule.Next(end); ok; next, ok = w.schedule.Next(end) {
-		w.now = next.At
-		next.Do()
-	}
+	w.schedule.Play(&w.now, end)
 	w.now = end
 }
 
--- a/internal/proof/scheduler/scheduler.go
+++ b/internal/proof/scheduler/scheduler.go
@@ -35,6 +35,14 @@
 	return heap.Pop(&s.steps).(Step), true
 }
 
+// Play does the steps up to the end in order, and sets now to the time of each.
+func (s *Schedule) Play(now *time.Time, end time.Time) {
+	for step, more := s.Next(end); more; step, more = s.Next(end) {
+		*now = step.At
+		step.Do()
+	}
+}
+
 // timeline orders steps by time for container/heap.
 type timeline []Step
 
