Log a lease call without an answer

Cause: only unanswered starts were logged, so that a lost hold, which delays what an agent knows of all runs of its endpoint, had to be inferred. The first one of a row is logged; further ones follow from the line that the endpoint is not followed. go test ./internal/edge/supervisor passes.

--- a/internal/edge/supervisor/lists.go
+++ b/internal/edge/supervisor/lists.go
@@ -20,6 +20,7 @@
 	}
 	if e.NoAnswer {
 		s.lostAt = s.now
+		s.noteSilence(sentAt)
 	}
 	if e.NoAnswer && sentAt.Before(s.answeredAt) {
 		// Only this answer is lost: the endpoint has answered since.
@@ -56,6 +57,13 @@
 	s.becomeClean()
 }
 
+// noteSilence logs a hold without an answer, the first one of a row.
+func (s *State) noteSilence(sentAt time.Time) {
+	if s.missed == 0 {
+		s.emit(Noted{Message: "lease call got no answer", Age: s.now.Sub(sentAt)})
+	}
+}
+
 // suspend takes nothing new while the endpoint does not answer. Its runs are still
 // followed.
 func (s *State) suspend() {
