Bound the endpoint's lease by the owner that was heard longest ago

Cause: an entry dies, and the agent of one of its runs stalls before the owner lease (0.8 s) is over. The run goes on until the endpoint lease (up to 1.02 s) lapses, and the caller hands the job to another entry after 1.3 s: two runs of a task at a time. Each lease was shorter than the pause; their sum was not. Change: agents renew the endpoint lease no further than 1.25 s after they last heard the owner of anything that runs, waits or may still start there; they refuse starts for an owner whose horizon is over before a lease already granted; and renew nothing while runs are there that they have not ordered. Ruled out: a shorter owner lease (reports come every 250 ms, and two may be lost), a shorter endpoint lease at all times (a short stall of an agent would end every run), holding jobs back after the loss of an entry (callers would wait). Conclusion: the lease stays near 1 s while owners are heard and shrinks as one falls silent.

--- a/internal/daemon/launcher/endpoint_control.go
+++ b/internal/daemon/launcher/endpoint_control.go
@@ -58,6 +58,7 @@
 		state: &supervisor.State{
 			Token: leased.Token,
 			Lease: leased.Lease,
+			Bound: func(longest time.Duration) time.Duration { return c.state.LeaseBound(c.clock.now(), longest) },
 			Boot:  supervisor.Boot{Address: leased.Address},
 		},
 		caller: caller,
--- a/internal/dispatch/gatekeeper/state.go
+++ b/internal/dispatch/gatekeeper/state.go
@@ -40,6 +40,9 @@
 	// LoadReportInterval, times the number of entries, is the least time between
 	// reports of a changed load; 0 means 10 ms, which bounds them to 100 a second.
 	LoadReportInterval time.Duration
+	// OwnerHorizon is how long after an owner was last heard all that it has asked for
+	// must have ended, whatever becomes of this agent; 0 sets no bound.
+	OwnerHorizon time.Duration
 
 	now       time.Time
 	effects   []Effect
@@ -67,7 +70,9 @@
 	// live holds the runs of volatile tasks that have not ended.
 	live map[runKey]*record
 	// echoed is when the youngest report was sent that each entry has echoed.
-	echoed      map[messenger.Incarnation]time.Time
+	echoed map[messenger.Incarnation]time.Time
+	// promised is the latest time until which a lease of the endpoint may last.
+	promised    time.Time
 	pace        pace
 	results     []*record
 	resultBytes int
--- a/internal/dispatch/gatekeeper/volatile.go
+++ b/internal/dispatch/gatekeeper/volatile.go
@@ -26,6 +26,10 @@
 		s.refuseVolatile(from, m, reason)
 		return
 	}
+	if s.ownerLapsed(m.Owner) || s.outlasts(m.Owner) {
+		s.refuseVolatile(from, m, messenger.RefusedLeaseLost)
+		return
+	}
 	r := s.newRecord(m)
 	r.run = m.Attempt + 1
 	if known != nil {
@@ -105,14 +109,6 @@
 	}
 }
 
-// renewOwner dates the lease of an entry by the report that it echoes.
-func (s *State) renewOwner(from messenger.Incarnation, sequence uint64) {
-	sent, ok := s.sentTime(sequence)
-	if ok && sent.After(s.echoed[from]) {
-		s.echoed[from] = sent
-	}
-}
-
 // checkOwners ends the volatile tasks of entries that have not been heard within
 // their lease, and those past their deadline. The caller of a lost entry may hand
 // the job to another one soon after.
@@ -138,11 +134,6 @@
 	}
 }
 
-func (s *State) ownerLapsed(owner messenger.Incarnation) bool {
-	lease := s.settings.OwnerLease
-	return lease > 0 && s.now.Sub(s.echoed[owner]) > lease
-}
-
 // liveRecords returns the runs in a fixed order.
 func (s *State) liveRecords() []*record {
 	records := make([]*record, 0, len(s.live))
--- a/internal/edge/supervisor/calls.go
+++ b/internal/edge/supervisor/calls.go
@@ -6,14 +6,20 @@
 	"github.com/burdockrudder/burdockrudder/internal/dispatch/messenger"
 )
 
-// until is the end of a lease that is renewed now, by the endpoint's clock.
-func (s *State) until() time.Duration {
-	return s.clock + s.now.Sub(s.clockAt) + s.Lease
-}
-
-// renews notes that a call is sent that renews the lease, if it arrives.
-func (s *State) renews() {
+// renew returns the end of a lease that is renewed now, by the endpoint's clock, and
+// notes that a call is sent that renews it, if it arrives. It returns zero if the
+// lease must not be renewed.
+func (s *State) renew() time.Duration {
+	lease := s.Lease
+	if s.Bound != nil {
+		bound := s.Bound(s.untilLapsed()) - lapseMargin
+		lease = min(lease, bound*100/(100+clockDrift))
+	}
+	if lease <= 0 {
+		return 0
+	}
 	s.lapsesAt = s.now.Add(s.untilLapsed())
+	return s.clock + s.now.Sub(s.clockAt) + lease
 }
 
 func (s *State) invoke(e Invoke) {
@@ -27,8 +33,12 @@
 		s.end(r, messenger.TaskOutcome{State: messenger.TaskNotRun, Reason: "the endpoint is not being followed"})
 		return
 	}
-	s.renews()
-	s.emit(CallStart{Start: Start{Boot: s.Boot, Run: e.Run, Payload: e.Payload, Until: s.until(), Token: s.Token}})
+	until := s.renew()
+	if until == 0 {
+		s.end(r, messenger.TaskOutcome{State: messenger.TaskNotRun, Reason: "the lease of the endpoint is left to lapse"})
+		return
+	}
+	s.emit(CallStart{Start: Start{Boot: s.Boot, Run: e.Run, Payload: e.Payload, Until: until, Token: s.Token}})
 }
 
 func (s *State) startAnswered(e StartAnswered) {
@@ -151,10 +161,9 @@
 	s.askedAt = s.now
 	h := Hold{Boot: s.Boot, Token: s.Token, Observed: s.observed, Wait: wait}
 	// The lease of an endpoint that does not answer is left to lapse, so that it
-	// does so at a known time.
-	if !s.clockAt.IsZero() && s.missed == 0 {
-		h.Until = s.until()
-		s.renews()
+	// does so at a known time; so is that of one which runs what was not ordered.
+	if !s.clockAt.IsZero() && s.missed == 0 && len(s.strays) == 0 {
+		h.Until = s.renew()
 	}
 	if s.clockAt.IsZero() || s.missed > 0 {
 		h.Wait = 0
--- a/internal/edge/supervisor/state.go
+++ b/internal/edge/supervisor/state.go
@@ -54,6 +54,9 @@
 	Token uint64
 	// Lease is the longest lease; zero means DefaultLease.
 	Lease time.Duration
+	// Bound, if set, tells how long a lease that is renewed now may last at most, given
+	// how long it could. Nothing is renewed when it is not positive.
+	Bound func(longest time.Duration) time.Duration
 	// Boot is what is known of the endpoint before it announces itself.
 	Boot Boot
 
