Take no news from a list that was overtaken

Cause: since agents look at lossy endpoints every 10 ms, answers overtake each other. An older list still shows a run whose end a younger one has told: it was taken for a run that nobody had ordered, stopped once more, and kept as a stray for 1.1 s. Change: an answer to a hold that was sent before the last answer came, and that shows an older clock, counts as a sign of life only. Only a new life of an agent renews nothing while unknown runs are there; later ones are ordered by itself, and its owners are known.

--- a/internal/edge/supervisor/calls.go
+++ b/internal/edge/supervisor/calls.go
@@ -161,8 +161,9 @@
 	s.askedAt = s.now
 	h := Hold{Boot: s.Boot, Token: s.Token, Observed: s.observed, Wait: wait}
 	// The lease of an endpoint that does not answer is left to lapse, so that it
-	// does so at a known time; so is that of one which runs what was not ordered.
-	if !s.clockAt.IsZero() && s.missed == 0 && len(s.strays) == 0 {
+	// does so at a known time; so is that of one where runs of a former life of this
+	// process, whose owners are unknown, have not been stopped.
+	if !s.clockAt.IsZero() && s.missed == 0 && s.followed {
 		h.Until = s.renew()
 	}
 	if s.clockAt.IsZero() || s.missed > 0 {
--- a/internal/edge/supervisor/lists.go
+++ b/internal/edge/supervisor/lists.go
@@ -45,8 +45,13 @@
 		s.rebooted(e.Lists.Born)
 	}
 	s.Boot.Born = e.Lists.Born
+	overtaken := sentAt.Before(s.answeredAt) && e.Lists.Clock < s.clock
 	s.answeredAt = s.now
 	s.missed = 0
+	if overtaken {
+		// A younger answer has told all of it.
+		return
+	}
 	s.clock, s.clockAt = e.Lists.Clock, s.now
 	if s.takeEnds(e.Lists.Ended) && !waited && s.holds[s.waiting].Before(sentAt) {
 		// The hold that waits should have told these ends.
@@ -167,5 +172,6 @@
 		return
 	}
 	s.clean = true
+	s.followed = true
 	s.emit(Ready{Boot: s.Boot})
 }
--- /dev/null
+++ b/internal/edge/supervisor/overtaken_test.go
@@ -0,0 +1,55 @@
+package supervisor
+
+import (
+	"testing"
+	"time"
+)
+
+// Guards against a list that was overtaken by a younger one on another connection: the
+// run that it still shows has ended. Taken as news, it stops a run that is not there and
+// keeps the lease from being renewed.
+func TestOvertakenListIsNoNews(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	at := func(ms int) time.Time { return now.Add(time.Duration(ms) * time.Millisecond) }
+	s := &State{Token: 1, Boot: Boot{ID: "i1", Address: "endpoint"}}
+	s.Handle(at(0), Tick{})
+	s.Handle(at(1), HoldAnswered{Call: 1, Lists: Lists{Born: 1, Clock: time.Hour}})
+	r := Run{Job: "j", Number: 1}
+	s.Handle(at(2), Invoke{Run: r})
+	s.Handle(at(3), StartAnswered{Run: r})
+	// Two looks: the first answer is held up on its way.
+	first := lookedAt(t, s.Handle(at(110), Tick{}))
+	second := lookedAt(t, s.Handle(at(220), Tick{}))
+	s.Handle(at(222), HoldAnswered{Call: second, Lists: Lists{
+		Born: 1, Clock: time.Hour + 221*time.Millisecond, Ended: []End{{Number: 1, Run: r, Kind: EndDone}},
+	}})
+	effects := s.Handle(at(223), HoldAnswered{Call: first, Lists: Lists{
+		Born: 1, Clock: time.Hour + 111*time.Millisecond, Running: []Run{r},
+	}})
+	for _, effect := range effects {
+		if stop, ok := effect.(CallStop); ok {
+			t.Errorf("%v is stopped, and it has ended", stop.Stop.Run)
+		}
+	}
+	next := Run{Job: "k", Number: 1}
+	for _, effect := range append(s.Handle(at(224), Invoke{Run: next}), s.Handle(at(330), Tick{})...) {
+		if hold, ok := effect.(CallHold); ok && hold.Hold.Until == 0 {
+			t.Error("the lease is not renewed")
+		}
+	}
+	if want := time.Hour + 221*time.Millisecond; s.clock != want {
+		t.Errorf("the endpoint's clock is taken as %v, want %v", s.clock, want)
+	}
+}
+
+// lookedAt returns the hold that does not wait.
+func lookedAt(t *testing.T, effects []Effect) uint64 {
+	t.Helper()
+	for _, effect := range effects {
+		if hold, ok := effect.(CallHold); ok && hold.Hold.Wait == 0 {
+			return hold.Call
+		}
+	}
+	t.Fatal("the endpoint is not looked at")
+	return 0
+}
--- a/internal/edge/supervisor/state.go
+++ b/internal/edge/supervisor/state.go
@@ -75,7 +75,9 @@
 	// call renews the lease.
 	lapsesAt time.Time
 	// clean is true once nothing unknown runs at the endpoint.
-	clean    bool
+	clean bool
+	// followed is true once the endpoint has been clean in this life of the process.
+	followed bool
 	observed int
 	runs     map[Run]*run
 	// strays are runs that this process has not ordered, or has given up.
@@ -285,7 +287,7 @@
 	s.Boot.Born = born
 	s.observed = 0
 	s.clean = false
-	s.clockAt = time.Time{}
+	s.clock, s.clockAt = 0, time.Time{}
 	clear(s.strays)
 	clear(s.holds)
 	s.waiting = 0
