Drop what the last read of the change found twice or in excess

An unanswered hold is one branch in place of three. A variable no longer hides net/http; two comments name what they speak of.

--- a/internal/daemon/launcher/endpoint_control.go
+++ b/internal/daemon/launcher/endpoint_control.go
@@ -6,7 +6,6 @@
 	"go.uber.org/zap"
 
 	"github.com/burdockrudder/burdockrudder/internal/dispatch/gatekeeper"
-	"github.com/burdockrudder/burdockrudder/internal/dispatch/messenger"
 	"github.com/burdockrudder/burdockrudder/internal/edge/supervisor"
 )
 
@@ -120,7 +119,7 @@
 		return false
 	}
 	return c.carryOutAll(endpointEffects(c.endpoint.state.Handle(time.Now(), supervisor.Invoke{
-		Task: e.Task, Run: runOf(e.Task, e.Position, e.Run), Payload: e.Payload,
+		Task: e.Task, Run: supervisor.RunOf(e.Task, e.Position, e.Run), Payload: e.Payload,
 	})))
 }
 
@@ -131,14 +130,10 @@
 		return false
 	}
 	return c.carryOutAll(endpointEffects(c.endpoint.state.Handle(time.Now(), supervisor.Abort{
-		Run: runOf(e.Task, e.Position, e.Run),
+		Run: supervisor.RunOf(e.Task, e.Position, e.Run),
 	})))
 }
 
-func runOf(task messenger.TaskKey, position messenger.Position, number int) supervisor.Run {
-	return supervisor.Run{Job: task.Submission.ID, Position: position, Number: number}
-}
-
 func (c *agentControl) carryOutAll(effects []agentEffect) bool {
 	end := false
 	for _, effect := range effects {
--- a/internal/demo/runner/clients.go
+++ b/internal/demo/runner/clients.go
@@ -78,11 +78,11 @@
 }
 
 func newClients(c *cluster, ids IDs) *clients {
-	http := c.httpClient()
-	http.Transport = delayedTransport{delay: c.deployment.ClientDelay, inner: http.Transport}
+	client := c.httpClient()
+	client.Transport = delayedTransport{delay: c.deployment.ClientDelay, inner: client.Transport}
 	all := &clients{
 		cluster:  c,
-		http:     http,
+		http:     client,
 		ids:      make(map[int]string),
 		repeated: make(map[int][]translator.Outcome),
 	}
--- a/internal/dispatch/coordinator/backlog.go
+++ b/internal/dispatch/coordinator/backlog.go
@@ -5,11 +5,9 @@
 	"time"
 
 	"github.com/burdockrudder/burdockrudder/internal/dispatch/messenger"
+	"github.com/burdockrudder/burdockrudder/internal/dispatch/placer"
 )
 
-// slotMilliCPU is what a task without a stated size counts for.
-const slotMilliCPU = 1000
-
 // rateWindow is the time over which the rate of work is measured: a few run times
 // of the shortest tasks, and far less than a burst.
 const rateWindow = 500 * time.Millisecond
@@ -40,7 +38,7 @@
 	if size := t.job.submission.Tasks[t.index].Size.MilliCPU; size > 0 {
 		return size
 	}
-	return slotMilliCPU
+	return placer.SlotMilliCPU
 }
 
 // workOf is the declared work of a task, in milli-core seconds.
@@ -90,5 +88,5 @@
 	if now.Sub(b.waitingSince) >= rateWindow {
 		rate = min(rate, rateHeadroom*b.fading(now)/rateWindow.Seconds())
 	}
-	return time.Duration(ahead / max(rate, slotMilliCPU) * float64(time.Second))
+	return time.Duration(ahead / max(rate, placer.SlotMilliCPU) * float64(time.Second))
 }
--- a/internal/dispatch/placer/choose.go
+++ b/internal/dispatch/placer/choose.go
@@ -14,7 +14,7 @@
 	compareAll = 16
 	// sampleSize is the number of endpoints compared otherwise.
 	sampleSize = 8
-	// collisionRisk is the risk of that at an endpoint with one place left. It falls
+	// collisionRisk is the risk of a collision at an endpoint with one place left. It falls
 	// with the places.
 	collisionRisk = 1
 )
--- a/internal/dispatch/placer/fit.go
+++ b/internal/dispatch/placer/fit.go
@@ -15,8 +15,11 @@
 	FitOK
 )
 
+// SlotMilliCPU is what a slot, and a task without a stated size, counts for.
+const SlotMilliCPU = 1000
+
 // RoomMilliCPU is the room that the endpoints with the labels are thought to have
-// now, in thousandths of a core. A free slot of one without a capacity counts as one.
+// now, in thousandths of a core.
 func (x *Index) RoomMilliCPU(firm, service string, labels []string) int {
 	p := x.pools[poolKey{firm, service}]
 	if p == nil {
@@ -29,7 +32,7 @@
 	room := 0
 	for _, m := range c.free {
 		if m.Capacity.IsZero() {
-			room += 1000 * (m.Slots - m.used())
+			room += SlotMilliCPU * (m.Slots - m.used())
 			continue
 		}
 		room += m.room().MilliCPU
--- a/internal/edge/supervisor/lists.go
+++ b/internal/edge/supervisor/lists.go
@@ -21,12 +21,10 @@
 	if e.NoAnswer {
 		s.lostAt = s.now
 		s.noteSilence(sentAt)
-	}
-	if e.NoAnswer && sentAt.Before(s.answeredAt) {
-		// Only this answer is lost: the endpoint has answered since.
-		return
-	}
-	if e.NoAnswer {
+		if sentAt.Before(s.answeredAt) {
+			// Only this answer is lost: the endpoint has answered since.
+			return
+		}
 		// The endpoint may have restarted: what it was ordered before must not be
 		// carried out by its next boot.
 		s.Token++
--- a/internal/edge/supervisor/supervisor.go
+++ b/internal/edge/supervisor/supervisor.go
@@ -21,6 +21,11 @@
 	Number int `json:"number"`
 }
 
+// RunOf names a run of a task.
+func RunOf(task messenger.TaskKey, position messenger.Position, number int) Run {
+	return Run{Job: task.Submission.ID, Position: position, Number: number}
+}
+
 // Boot is one life of an endpoint.
 type Boot struct {
 	// ID is the name under which the endpoint takes orders.
