Tell peers of an earlier life of an entry that their connections have ended

Cause: after a restart of an entry, its agents take their old connections for open until they have heard nothing for 1 s. Change: QUIC's stateless resets, under a key that outlives the restart. A peer that sends on an old connection, as agents do every 250 ms, is told at once that it has ended, and dials. Test: TestRestartedEntryEndsOldConnections; without the key it waits for the idle timeout and finds no reset.

--- a/internal/command/starter/starter.go
+++ b/internal/command/starter/starter.go
@@ -71,6 +71,7 @@
 type process struct {
 	logger      *zap.Logger
 	tls         *tls.Config
+	resetSecret []byte
 	incarnation messenger.Incarnation
 	metrics     *launcher.Metrics
 	sink        *launcher.LogSink
@@ -86,13 +87,17 @@
 	if err != nil {
 		return nil, fmt.Errorf("load link certificates: %w", err)
 	}
+	resetSecret, err := authenticator.RestartSecret(tlsConfig)
+	if err != nil {
+		return nil, err
+	}
 	incarnation, err := launcher.NewIncarnation(name)
 	if err != nil {
 		return nil, err
 	}
 	return &process{
-		logger: logger, tls: tlsConfig, incarnation: incarnation, metrics: launcher.NewMetrics(string(role), name),
-		sink: sink,
+		logger: logger, tls: tlsConfig, resetSecret: resetSecret, incarnation: incarnation,
+		metrics: launcher.NewMetrics(string(role), name), sink: sink,
 	}, nil
 }
 
@@ -100,7 +105,8 @@
 func (p *process) transport(hello messenger.Hello, listen string) func(launcher.Handler) launcher.Transport {
 	return func(handler launcher.Handler) launcher.Transport {
 		return &linker.Transport{
-			Hello: hello, Listen: listen, TLS: p.tls, Handler: handler, Logger: p.logger, Metrics: p.metrics.Scope,
+			Hello: hello, Listen: listen, TLS: p.tls, ResetSecret: p.resetSecret, Handler: handler,
+			Logger: p.logger, Metrics: p.metrics.Scope,
 		}
 	}
 }
--- a/internal/transport/linker/linker.go
+++ b/internal/transport/linker/linker.go
@@ -59,6 +59,10 @@
 	// TLS comes from the authenticator package.
 	TLS     *tls.Config
 	Handler Handler
+	// ResetSecret, if set, is the same in each life of this process. A peer that sends
+	// to a connection of an earlier life is then told at once that it has ended, and
+	// need not notice the silence. Whoever knows the secret can end links.
+	ResetSecret []byte
 	// Identify reads the peer's identity off a connection; nil means the verified
 	// certificate. It replaces that where the links do not authenticate.
 	Identify func(tls.ConnectionState) (authenticator.Identity, error)
@@ -152,7 +156,7 @@
 			return nil, err
 		}
 	}
-	t.quic = &quic.Transport{Conn: socket}
+	t.quic = &quic.Transport{Conn: socket, StatelessResetKey: resetKey(t.ResetSecret)}
 	if t.Listen == "" {
 		return nil, nil
 	}
--- /dev/null
+++ b/internal/transport/linker/restart_test.go
@@ -0,0 +1,61 @@
+package linker
+
+import (
+	"net"
+	"sync/atomic"
+	"testing"
+
+	"github.com/burdockrudder/burdockrudder/internal/dispatch/messenger"
+	"github.com/burdockrudder/burdockrudder/internal/transport/authenticator"
+)
+
+// crashableSocket sends nothing any more once its process has crashed, so that the
+// process ends without closing its connections.
+type crashableSocket struct {
+	net.PacketConn
+	crashed atomic.Bool
+}
+
+func (s *crashableSocket) WriteTo(data []byte, to net.Addr) (int, error) {
+	if s.crashed.Load() {
+		return len(data), nil
+	}
+	return s.PacketConn.WriteTo(data, to)
+}
+
+// Guards against an entry that has crashed and come back at its address, while its
+// agents still take their old connections for open: until they notice the silence,
+// the new entry knows no endpoint and refuses its callers.
+func TestRestartedEntryEndsOldConnections(t *testing.T) {
+	authority := testAuthority(t)
+	hello := testHello(messenger.RoleEntry, "e1")
+	config := testTLS(t, authority, hello)
+	secret, err := authenticator.RestartSecret(config)
+	if err != nil {
+		t.Fatal(err)
+	}
+	bound, err := net.ListenPacket("udp", loopbackAny)
+	if err != nil {
+		t.Fatal(err)
+	}
+	socket := &crashableSocket{PacketConn: bound}
+	entry := newProcess(t, authority, hello, loopbackAny)
+	entry.Socket, entry.TLS, entry.ResetSecret = socket, config, secret
+	entry.start()
+	// An agent of newProcess takes no link for silent.
+	agent := newProcess(t, authority, testHello(messenger.RoleAgent, "w1"), "").start()
+	agent.SetTargets([]messenger.EntryAddress{entry.bootstrap()})
+	agent.want(eventLinked, entry)
+
+	address := entry.Address()
+	socket.crashed.Store(true)
+	entry.stop()
+	hello.Incarnation += "later"
+	restarted := newProcess(t, authority, hello, address)
+	restarted.TLS, restarted.ResetSecret = config, secret
+	restarted.start()
+
+	agent.waitLog("stateless reset")
+	agent.want(eventUnlinked, entry)
+	agent.want(eventLinked, restarted)
+}
--- a/internal/transport/linker/wire.go
+++ b/internal/transport/linker/wire.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/sha256"
 	"crypto/tls"
 	"errors"
 	"fmt"
@@ -45,6 +46,16 @@
 	}
 }
 
+// resetKey derives the key of stateless resets from a secret; without one, none are
+// sent.
+func resetKey(secret []byte) *quic.StatelessResetKey {
+	if len(secret) == 0 {
+		return nil
+	}
+	key := quic.StatelessResetKey(sha256.Sum256(secret))
+	return &key
+}
+
 func withProtocol(config *tls.Config) *tls.Config {
 	config = config.Clone()
 	config.NextProtos = []string{protocol}
