--- a/internal/dispatch/coordinator/settings.go
+++ b/internal/dispatch/coordinator/settings.go
@@ -136,6 +136,7 @@
 		Version:        s.version,
 		State:          state,
 		QueueLimit:     settings.QueueLimit,
+		QueueShare:     settings.QueueShare,
 		SettingsLease:  s.Config.SettingsLease,
 		StartFreshness: s.Config.StartFreshness,
 		RecordHorizon:  s.Config.RecordHorizon,
--- a/internal/dispatch/gatekeeper/script_test.go
+++ b/internal/dispatch/gatekeeper/script_test.go
@@ -140,6 +140,7 @@
 			Version:        version,
 			State:          messenger.DomainState(state),
 			QueueLimit:     step.Int(g.t, "queue", 2),
+			QueueShare:     step.Float(g.t, "queue_share", 0),
 			SettingsLease:  2500 * time.Millisecond,
 			StartFreshness: 3 * time.Second,
 			RecordHorizon:  step.Duration(g.t, "horizon", 10*time.Minute),
--- a/internal/dispatch/gatekeeper/starts.go
+++ b/internal/dispatch/gatekeeper/starts.go
@@ -120,12 +120,24 @@
 	if m.TimeLeft <= 0 {
 		return messenger.RefusedExpired, true
 	}
-	if !s.fits(m.Size) && len(s.queue) >= s.settings.QueueLimit {
+	if !s.fits(m.Size) && s.queueFull(m.Size) {
 		return messenger.RefusedQueueFull, true
 	}
 	return "", false
 }
 
+// queueFull tells whether a task that does not fit now would wait for too long.
+func (s *State) queueFull(size messenger.Resources) bool {
+	if len(s.queue) >= s.settings.QueueLimit {
+		return true
+	}
+	if s.settings.QueueShare == 0 || s.endpoint.Capacity.IsZero() || len(s.queue) == 0 {
+		return false
+	}
+	allowed := s.settings.QueueShare * float64(s.endpoint.Capacity.MilliCPU)
+	return float64(s.waiting.MilliCPU+size.MilliCPU) > allowed
+}
+
 func (s *State) refuse(to messenger.Incarnation, m messenger.Start, reason messenger.RefusalReason, never bool) {
 	s.decided(Decision{Task: m.Task, Attempt: m.Attempt, Owner: m.Owner, Reason: reason, Size: m.Size})
 	s.send(to, messenger.Refused{
--- a/internal/dispatch/messenger/endpoint.go
+++ b/internal/dispatch/messenger/endpoint.go
@@ -35,6 +35,9 @@
 	State   DomainState `json:"state"`
 	// QueueLimit is how many tasks may wait at the agent beyond the running ones.
 	QueueLimit int `json:"queue_limit"`
+	// QueueShare is the share of the stated capacity that waiting tasks may take
+	// together, if there is more than one. Zero sets no bound.
+	QueueShare float64 `json:"queue_share,omitempty"`
 	// SettingsLease is the age of the youngest confirmation beyond which nothing starts.
 	SettingsLease time.Duration `json:"settings_lease"`
 	// StartFreshness bounds the age of the report that a start echoes.
--- a/internal/settings/resolver/resolved.go
+++ b/internal/settings/resolver/resolved.go
@@ -34,6 +34,7 @@
 	DefaultDeadline *Duration              `json:"default_deadline,omitempty"`
 	MaxDeadline     *Duration              `json:"max_deadline,omitempty"`
 	QueueLimit      *int                   `json:"queue_limit,omitempty"`
+	QueueShare      *float64               `json:"queue_share,omitempty"`
 	EjectAfter      *int                   `json:"eject_after,omitempty"`
 	EjectFor        *Duration              `json:"eject_for,omitempty"`
 	RampUp          *Duration              `json:"ramp_up,omitempty"`
@@ -59,6 +60,9 @@
 	MaxDeadline Duration `json:"max_deadline"`
 	// QueueLimit is how many tasks may wait at an agent beyond the running ones.
 	QueueLimit int `json:"queue_limit"`
+	// QueueShare is the share of an endpoint's stated capacity that tasks which wait
+	// at its agent may take together; a single one may take more. Zero sets no bound.
+	QueueShare float64 `json:"queue_share"`
 	// EjectAfter is the number of failures in a row after which an endpoint is ejected.
 	EjectAfter int `json:"eject_after"`
 	// EjectFor is the first ejection time; it doubles up to one minute.
@@ -105,6 +109,7 @@
 	override(&r.DefaultDeadline, o.DefaultDeadline)
 	override(&r.MaxDeadline, o.MaxDeadline)
 	override(&r.QueueLimit, o.QueueLimit)
+	override(&r.QueueShare, o.QueueShare)
 	override(&r.EjectAfter, o.EjectAfter)
 	override(&r.EjectFor, o.EjectFor)
 	override(&r.RampUp, o.RampUp)
