Dial entries that are away more often on the users' platform

Cause: an agent that has lost an entry dials it with waits of up to 2 s, and an attempt that nobody answers lasts 2 s. Entries of the platform restart within a second.

--- a/internal/transport/linker/backoff.go
+++ b/internal/transport/linker/backoff.go
@@ -1,6 +1,9 @@
 package linker
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 const (
 	backoffFloor   = 50 * time.Millisecond
@@ -13,10 +16,12 @@
 type backoff struct {
 	bound  time.Duration
 	random func() float64
+	// ceiling bounds the waits; zero means backoffCeiling.
+	ceiling time.Duration
 }
 
 func (b *backoff) next() time.Duration {
-	b.bound = min(max(2*b.bound, 2*backoffFloor), backoffCeiling)
+	b.bound = min(max(2*b.bound, 2*backoffFloor), cmp.Or(b.ceiling, backoffCeiling))
 	spread := float64(b.bound - backoffFloor)
 	return backoffFloor + time.Duration(b.random()*spread)
 }
--- a/internal/transport/linker/dialer.go
+++ b/internal/transport/linker/dialer.go
@@ -52,7 +52,7 @@
 func newDialer(ctx context.Context, t *Transport, target messenger.EntryAddress) *dialer {
 	d := &dialer{transport: t, target: target, updated: make(chan struct{}, 1)}
 	d.ctx, d.cancel = context.WithCancelCause(ctx)
-	d.backoff.random = rand.Float64
+	d.backoff.random, d.backoff.ceiling = rand.Float64, t.RedialCeiling
 	return d
 }
 
@@ -180,7 +180,7 @@
 // that ends during a race may still be replaced, so that an acceptor that closes
 // the old connection first does not cause an Unlinked call.
 func (d *dialer) hold(l *link) *link {
-	race := backoff{random: rand.Float64}
+	race := backoff{random: rand.Float64, ceiling: d.transport.RedialCeiling}
 	for d.awaitSilence(l) {
 		d.transport.metrics.races.Inc(1)
 		d.transport.Logger.Info("racing a silent link", peerFields(l.peer)...)
@@ -231,7 +231,7 @@
 
 // connect dials the target and returns a link that has carried a welcome.
 func (d *dialer) connect() (*link, error) {
-	ctx, cancel := context.WithTimeout(d.ctx, greetTimeout)
+	ctx, cancel := context.WithTimeout(d.ctx, d.transport.DialTimeout)
 	defer cancel()
 	target := d.present()
 	address, err := netip.ParseAddrPort(target.Address)
--- a/internal/transport/linker/linker.go
+++ b/internal/transport/linker/linker.go
@@ -27,6 +27,10 @@
 	// which make pings needless, and the silence that starts a race.
 	DefaultProbeInterval = 750 * time.Millisecond
 	DefaultSilentAfter   = time.Second
+	// DefaultDialTimeout allows for links over long distances.
+	DefaultDialTimeout = greetTimeout
+	// DefaultRedialCeiling bounds what is spent on processes that are gone.
+	DefaultRedialCeiling = backoffCeiling
 )
 
 // Handler receives the events of the links. The calls for one incarnation are
@@ -75,6 +79,11 @@
 	// SilentAfter is the silence after which a dialer races a second connection.
 	// Zero means DefaultSilentAfter.
 	SilentAfter time.Duration
+	// DialTimeout bounds one attempt to link. Zero means DefaultDialTimeout.
+	DialTimeout time.Duration
+	// RedialCeiling bounds the wait between two attempts. With DialTimeout it bounds how
+	// long a process that comes back goes unnoticed. Zero means DefaultRedialCeiling.
+	RedialCeiling time.Duration
 	// Delay adds a one-way delay to each message to the peer, for tests and the
 	// demo. The order of messages is kept.
 	Delay func(peer messenger.Hello) time.Duration
@@ -112,6 +121,12 @@
 		if t.SilentAfter == 0 {
 			t.SilentAfter = DefaultSilentAfter
 		}
+		if t.DialTimeout == 0 {
+			t.DialTimeout = DefaultDialTimeout
+		}
+		if t.RedialCeiling == 0 {
+			t.RedialCeiling = DefaultRedialCeiling
+		}
 		t.bound = make(chan struct{})
 		t.changed = make(chan struct{}, 1)
 		t.metrics = newMetrics(t.Metrics)
