Keep links to entries that a directory does not list

Cause: an agent took each directory that an entry told for the whole truth. An entry that is stopped releases its row and is back in a second; another one that had just started told a directory without it. Change: an entry that was listed stays a target for 10 s, and for as long as it is linked. Refusals remain while all entries drain together.

--- a/internal/daemon/launcher/agent_control.go
+++ b/internal/daemon/launcher/agent_control.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"slices"
-	"sync/atomic"
 	"time"
 
 	"github.com/uber-go/tally/v4"
@@ -20,14 +18,13 @@
 
 // agentControl runs an agent's decisions and carries out their effects.
 type agentControl struct {
-	kernel    *registrar.Kernel
-	logger    *zap.Logger
-	scope     tally.Scope
-	clock     clock
-	bootstrap []messenger.EntryAddress
+	kernel  *registrar.Kernel
+	logger  *zap.Logger
+	scope   tally.Scope
+	clock   clock
+	targets agentTargets
 	// entries are the entries to link to, once linking is allowed.
 	entries []messenger.EntryAddress
-	linked  atomic.Int64
 	counted decisionCounters
 
 	state *gatekeeper.State
@@ -59,7 +56,7 @@
 	if c.invocations, err = registrar.Lookup[*invocations](c.kernel, serviceInvoker); err != nil {
 		return err
 	}
-	c.entries = c.bootstrap
+	c.entries = c.targets.Bootstrap
 	c.link()
 	err = c.loop.run(ctx)
 	time.Sleep(flushDelay)
@@ -99,7 +96,7 @@
 		c.endpoint.recalled = *event.recalled
 		return c.recall(now)
 	case event.entries != nil:
-		c.entries = event.entries
+		c.entries = c.targets.list(now, event.entries)
 		c.link()
 		return nil
 	case event.endpoint != nil:
@@ -129,7 +126,7 @@
 	case gatekeeper.Abort:
 		return c.abort(e)
 	case gatekeeper.DirectoryChanged:
-		c.entries = c.targets(e.Directory)
+		c.entries = c.targets.list(c.clock.now(), e.Directory)
 		c.link()
 	case gatekeeper.Decision:
 		c.logDecision(e)
@@ -139,19 +136,6 @@
 	return false
 }
 
-// targets adds the bootstrap addresses that the directory lacks: an entry that
-// has just come back may not be in it yet.
-func (c *agentControl) targets(directory []messenger.EntryAddress) []messenger.EntryAddress {
-	targets := slices.Clone(directory)
-	for _, b := range c.bootstrap {
-		known := slices.ContainsFunc(directory, func(d messenger.EntryAddress) bool { return d.Address == b.Address })
-		if !known {
-			targets = append(targets, b)
-		}
-	}
-	return targets
-}
-
 func (c *agentControl) logDecision(d gatekeeper.Decision) {
 	outcome := "refuse"
 	if d.Started {
@@ -173,13 +157,13 @@
 
 // Linked takes a new link from the transport.
 func (c *agentControl) Linked(peer messenger.Hello) {
-	c.linked.Add(1)
+	c.targets.linkOpened(peer)
 	c.post(gatekeeper.EntryLinked{Entry: peer.Incarnation})
 }
 
 // Unlinked takes the end of a link.
 func (c *agentControl) Unlinked(peer messenger.Incarnation) {
-	c.linked.Add(-1)
+	c.targets.linkClosed(peer)
 	c.post(gatekeeper.EntryUnlinked{Entry: peer})
 }
 
--- a/internal/daemon/launcher/directory_reader.go
+++ b/internal/daemon/launcher/directory_reader.go
@@ -33,7 +33,7 @@
 	ticker := time.NewTicker(directoryEvery)
 	defer ticker.Stop()
 	for {
-		if d.control.linked.Load() == 0 {
+		if d.control.targets.links() == 0 {
 			d.read(ctx)
 		}
 		select {
