Admit what ends before the stop while an entry drains

Change: after that time it still admits a job whose answer is worth something only before the stop. What it admits it answers. Ruled out: a longer time of admitting everything (long jobs would be given up at the stop).

--- a/internal/dispatch/coordinator/drain.go
+++ b/internal/dispatch/coordinator/drain.go
@@ -17,6 +17,17 @@
 	return s.lifeCycle.Is(entryDraining) && s.now.Before(s.lingerUntil)
 }
 
+// endsBeforeStop tells whether a draining entry still admits a volatile job: for as long
+// as callers come over connections that they have open, and after that what is surely
+// answered before the end. Its callers may have nowhere else to go.
+func (s *State) endsBeforeStop(j *job) bool {
+	if s.lingers() {
+		return true
+	}
+	latest := s.now.Add(worthlessAfter * j.objective.latency)
+	return j.objective.latency > 0 && latest.Before(s.drainBy)
+}
+
 func (s *State) drainTick() {
 	if !s.lifeCycle.Is(entryDraining) {
 		return
--- a/internal/dispatch/coordinator/overload_test.go
+++ b/internal/dispatch/coordinator/overload_test.go
@@ -48,6 +48,8 @@
 	timely   int
 	late     int
 	refused  int
+	// firstRefused is when the first job that was refused had come.
+	firstRefused time.Time
 	// slowest is the longest time to a refusal.
 	slowest time.Duration
 	// cost is the processor time for reading a call, for an order and for a result;
@@ -113,7 +115,9 @@
 	took := o.now.Sub(o.asked[reply.Call])
 	switch reply.Answer.(type) {
 	case RefusalAnswer:
-		o.refused++
+		if o.refused++; o.refused == 1 {
+			o.firstRefused = o.asked[reply.Call]
+		}
 		o.slowest = max(o.slowest, took)
 	default:
 		if took <= overloadObjective {
--- a/internal/dispatch/coordinator/volatile.go
+++ b/internal/dispatch/coordinator/volatile.go
@@ -46,7 +46,7 @@
 // admitsVolatile tells whether volatile submissions are admitted at all. They need no
 // row of this entry, so that it serves them while the store keeps it from starting.
 func (s *State) admitsVolatile() bool {
-	return s.lifeCycle.Is(entryStarting) || s.lifeCycle.Is(entryActive) || s.lingers()
+	return s.lifeCycle.Is(entryStarting) || s.lifeCycle.Is(entryActive) || s.lifeCycle.Is(entryDraining)
 }
 
 // admitVolatile starts a job unless it would miss its objective.
@@ -54,6 +54,11 @@
 	key := submission.Key
 	j := s.newJob(submission, settings)
 	j.objective = objectiveOf(s.tree.Firms[key.Firm].Queues[submission.Queue], submission)
+	if s.lifeCycle.Is(entryDraining) && !s.endsBeforeStop(j) {
+		s.removeJob(j)
+		s.refuseVolatile(w, key, messenger.CodeNotRun, "this entry is "+entryDraining)
+		return
+	}
 	if delay, late := s.overloaded(j); late {
 		s.removeJob(j)
 		reason := fmt.Sprintf("the wait of %v exceeds the %v that the objective leaves",
