--- a/internal/daemon/launcher/agent_targets.go
+++ b/internal/daemon/launcher/agent_targets.go
@@ -45,6 +45,7 @@
 	for address, target := range a.listed {
 		switch {
 		case target.at.Equal(now):
+			// This directory lists it.
 		case now.Sub(target.at) < targetLinger || a.isLinked(target.Name):
 			targets = append(targets, target.EntryAddress)
 		default:
--- a/internal/dispatch/placer/choose.go
+++ b/internal/dispatch/placer/choose.go
@@ -51,8 +51,11 @@
 const (
 	ReasonOnly        = "only_candidate"
 	ReasonLeastFinish = "least_expected_finish"
-	ReasonProbe       = "probe"
-	ReasonHeldBack    = "held_back"
+	// ReasonNearLeast: drawn among those that are hardly worse than the least, which is
+	// the runner-up.
+	ReasonNearLeast = "near_least_expected_finish"
+	ReasonProbe     = "probe"
+	ReasonHeldBack  = "held_back"
 	// ReasonNoRoom: the endpoints that are free have too little room for the task.
 	ReasonNoRoom = "no_room"
 )
@@ -138,6 +141,8 @@
 	// compared holds the candidates that were considered.
 	compared   [compareAll]candidate
 	considered int
+	// drawn is true if the choice was drawn among near equals and is not the best.
+	drawn bool
 	// tooSmall is true if an endpoint was passed over for want of room.
 	tooSmall bool
 }
@@ -228,6 +233,9 @@
 	} else {
 		c.Reason = ReasonOnly
 	}
+	if s.drawn {
+		c.Reason = ReasonNearLeast
+	}
 	if s.best.phase == phaseProbing {
 		c.Reason = ReasonProbe
 	}
--- /dev/null
+++ b/internal/dispatch/placer/spread_test.go
@@ -0,0 +1,40 @@
+package placer
+
+import (
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/burdockrudder/burdockrudder/internal/dispatch/messenger"
+	"github.com/burdockrudder/burdockrudder/internal/settings/resolver"
+)
+
+// Guards against a choice of a slow endpoint where a fast one has room, and against a log
+// that calls a drawn endpoint the best one.
+func TestSpreadDrawsAmongNearEquals(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	random := rand.New(rand.NewPCG(1, 1))
+	x := New()
+	x.Policy.Spread = 0.3
+	// The factors of the run time at each endpoint.
+	factors := map[string]float64{"best": 1, "near": 1.1, "slow": 1.8}
+	for name, factor := range factors {
+		x.Put(now, Endpoint{Name: name, Slots: 4, Scope: resolver.Scope{Firm: "lamis", Service: "dispatch"}})
+		x.Told(now, name, messenger.EndpointLoad{Slots: 4, Slowness: math.Log(factor), Runs: 100})
+	}
+	reasons := map[string]string{}
+	for range 100 {
+		choice, ok := x.Choose(now, random, Query{Firm: "lamis", Service: "dispatch"})
+		if !ok {
+			t.Fatal("nothing was chosen")
+		}
+		reasons[choice.Endpoint] = choice.Reason
+	}
+	want := map[string]string{"best": ReasonLeastFinish, "near": ReasonNearLeast}
+	if diff := cmp.Diff(want, reasons); diff != "" {
+		t.Error(diff)
+	}
+}
