Take SIGHUP from the first moment of a process

SIGHUP was awaited only after the settings had been read; before, it ends a process. Change: the command waits for SIGHUP before anything else, and settings that change before the daemon can take them are taken when it can (they were lost). Ruled out: a port taken by another socket (the logs show no failed start). Test: TestReloadDuringTheStart.

--- a/cmd/burdockrudder-platform/main.go
+++ b/cmd/burdockrudder-platform/main.go
@@ -16,9 +16,12 @@
 	os.Exit(run())
 }
 
-// run ends the context at the first SIGINT or SIGTERM.
+// run ends the context at the first SIGINT or SIGTERM. SIGHUP, which would end a process
+// that does not expect it, may come from the first moment.
 func run() int {
+	reloads := make(chan os.Signal, 1)
+	signal.Notify(reloads, syscall.SIGHUP)
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	return builder.Run(ctx, hoster.Root(), os.Stderr)
+	return builder.Run(ctx, hoster.Root(reloads), os.Stderr)
 }
--- /dev/null
+++ b/internal/command/hoster/watcher.go
@@ -0,0 +1,75 @@
+package hoster
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"sync"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/burdockrudder/burdockrudder/platform"
+)
+
+// watcher reads the settings file again at each signal.
+type watcher struct {
+	signals <-chan os.Signal
+	load    func() (platform.ProcessConfig, error)
+
+	mu     sync.Mutex
+	reload platform.Reload
+	// pending are settings that changed before the daemon could take them.
+	pending *platform.ProcessConfig
+}
+
+// register takes the function that puts changed settings in force.
+func (w *watcher) register(reload platform.Reload) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.reload = reload
+	if w.pending != nil {
+		reload(*w.pending)
+		w.pending = nil
+	}
+}
+
+func (w *watcher) changed(config platform.ProcessConfig) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.reload == nil {
+		w.pending = &config
+		return
+	}
+	w.reload(config)
+}
+
+// run runs a daemon and reloads its settings meanwhile.
+func (w *watcher) run(ctx context.Context, daemon func(context.Context) error) error {
+	ended := make(chan struct{})
+	var group errgroup.Group
+	group.Go(func() error {
+		w.watch(ended)
+		return nil
+	})
+	err := daemon(ctx)
+	close(ended)
+	// The watching goroutine returns no error.
+	_ = group.Wait()
+	return err
+}
+
+func (w *watcher) watch(ended <-chan struct{}) {
+	for {
+		select {
+		case <-ended:
+			return
+		case <-w.signals:
+		}
+		config, err := w.load()
+		if err != nil {
+			fmt.Fprintf(os.Stderr, "settings not reloaded: %v\n", err)
+			continue
+		}
+		w.changed(config)
+	}
+}
--- /dev/null
+++ b/internal/command/hoster/watcher_test.go
@@ -0,0 +1,35 @@
+package hoster
+
+import (
+	"context"
+	"os"
+	"syscall"
+	"testing"
+
+	"github.com/burdockrudder/burdockrudder/platform"
+)
+
+// Guards against a change of the settings file that is lost because its signal comes
+// while the process starts (soak seed 501: the signal ended an agent that had just been
+// started again).
+func TestReloadDuringTheStart(t *testing.T) {
+	signals := make(chan os.Signal, 1)
+	loaded := make(chan struct{})
+	w := &watcher{signals: signals, load: func() (platform.ProcessConfig, error) {
+		close(loaded)
+		return platform.ProcessConfig{Name: "changed"}, nil
+	}}
+	signals <- syscall.SIGHUP
+	inForce := make(chan platform.ProcessConfig, 1)
+	err := w.run(context.Background(), func(context.Context) error {
+		<-loaded
+		w.register(func(config platform.ProcessConfig) { inForce <- config })
+		if config := <-inForce; config.Name != "changed" {
+			t.Errorf("settings of %q are in force", config.Name)
+		}
+		return nil
+	})
+	if err != nil {
+		t.Error(err)
+	}
+}
