Leave out odd entries of other writers, and replace odd rows of our own

Change: such rows have no content and revision 0, are logged once and left out, and the owner's next write replaces them.

--- a/internal/storage/leaser/directory.go
+++ b/internal/storage/leaser/directory.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"fmt"
+	"net/netip"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
+	"go.uber.org/zap"
 
 	"github.com/burdockrudder/burdockrudder/internal/dispatch/coordinator"
 	"github.com/burdockrudder/burdockrudder/internal/storage/storer"
@@ -32,6 +34,7 @@
 
 // directory tracks since when each row has been unchanged.
 type directory struct {
+	logger       *zap.Logger
 	observations map[string]rowObservation
 	lastScan     time.Time
 }
@@ -43,7 +46,8 @@
 	observations := make(map[string]rowObservation, len(rows))
 	for _, row := range rows {
 		last, known := d.observations[row.Key]
-		if restartAges || !known || last.revision != row.Revision {
+		changed := !known || last.revision != row.Revision
+		if restartAges || changed {
 			last = rowObservation{revision: row.Revision, unchangedSince: now}
 		}
 		observations[row.Key] = last
@@ -52,7 +56,13 @@
 			stale = append(stale, row)
 		}
 		entry, err := decode(row)
-		if err == nil && (!entry.Fenced || age < fencedRowRetention) {
+		if err != nil {
+			if changed {
+				d.logger.Warn("row names no entry and is left out", zap.Error(err))
+			}
+			continue
+		}
+		if !entry.Fenced || age < fencedRowRetention {
 			entries = append(entries, entry)
 		}
 	}
@@ -60,8 +70,8 @@
 	return entries, stale
 }
 
-// Directory reads the rows of all entries. Rows that cannot be decoded are left out; they
-// were written by entries of another version.
+// Directory reads the rows of all entries. Rows that name no entry are left out; they were
+// written by another program or by entries of another version.
 func Directory(ctx context.Context, table storer.Table) ([]coordinator.EntryRow, error) {
 	rows, err := table.Scan(ctx, Prefix)
 	if err != nil {
@@ -76,21 +86,33 @@
 	return entries, nil
 }
 
+// decode returns the entry that a row names.
 func decode(row storer.Row) (coordinator.EntryRow, error) {
 	var entry coordinator.EntryRow
 	if err := cbor.Unmarshal(row.Value, &entry); err != nil {
-		return entry, fmt.Errorf("decode %s: %w", row.Key, err)
+		return coordinator.EntryRow{}, fmt.Errorf("decode %s: %w", row.Key, err)
+	}
+	if Prefix+entry.Name != row.Key || entry.Incarnation == "" {
+		return coordinator.EntryRow{}, fmt.Errorf("row %s holds entry %q with incarnation %q", row.Key, entry.Name, entry.Incarnation)
+	}
+	address, err := netip.ParseAddrPort(entry.Address)
+	if err != nil {
+		return coordinator.EntryRow{}, fmt.Errorf("address in row %s: %w", row.Key, err)
+	}
+	if address.Port() == 0 {
+		return coordinator.EntryRow{}, fmt.Errorf("address in row %s has port 0", row.Key)
 	}
 	return entry, nil
 }
 
-func findRow(rows []storer.Row, key string) storer.Row {
+// findRow returns the row with a key, and whether it exists.
+func findRow(rows []storer.Row, key string) (storer.Row, bool) {
 	for _, row := range rows {
 		if row.Key == key {
-			return row
+			return row, true
 		}
 	}
-	return storer.Row{}
+	return storer.Row{}, false
 }
 
 // replaceEntry replaces the row of an entry in the directory, or adds it.
--- a/internal/storage/leaser/leaser.go
+++ b/internal/storage/leaser/leaser.go
@@ -158,11 +158,11 @@
 	if err != nil {
 		return coordinator.LeaseRenewed{}, err
 	}
+	l.directory.logger = l.Logger
 	entries, stale := l.directory.observe(time.Now(), rows)
-	current := findRow(rows, Prefix+l.Name)
-	lost, err := l.leaseLost(current)
-	if err != nil || lost {
-		return coordinator.LeaseRenewed{Fenced: lost, Directory: entries}, err
+	current, exists := findRow(rows, Prefix+l.Name)
+	if l.leaseLost(current, exists) {
+		return coordinator.LeaseRenewed{Fenced: true, Directory: entries}, nil
 	}
 	row := coordinator.EntryRow{Name: l.Name, Incarnation: l.Incarnation, Address: l.Address, Renewal: renewal}
 	put, err := l.put(current, row, fmt.Sprintf("%s/renew/%d", l.Incarnation, renewal))
@@ -177,34 +177,36 @@
 		l.held = true
 		return coordinator.LeaseRenewed{Directory: replaceEntry(entries, row)}, nil
 	}
-	lost, err = l.leaseLost(results[0].Row)
-	if err == nil && !lost {
-		err = errors.New("the entry row was changed by another writer during the renewal")
+	// Without a revision, the row is gone or odd; the next renewal reads which.
+	if results[0].Row.Revision > 0 && l.leaseLost(results[0].Row, true) {
+		return coordinator.LeaseRenewed{Fenced: true, Directory: entries}, nil
 	}
-	return coordinator.LeaseRenewed{Fenced: lost, Directory: entries}, err
+	return coordinator.LeaseRenewed{}, errors.New("the entry row was changed by another writer during the renewal")
 }
 
-// leaseLost reports whether the row proves that this incarnation has lost its lease.
-func (l *Leaser) leaseLost(current storer.Row) (bool, error) {
-	if current.Revision == 0 {
+// leaseLost reports whether the row of this entry, or its absence, proves that this
+// incarnation has lost its lease.
+func (l *Leaser) leaseLost(current storer.Row, exists bool) bool {
+	if !exists {
 		l.rowChecked = true
 		// If this incarnation has had a row, another entry removed the row because it was
 		// not renewed.
-		return l.held, nil
+		return l.held
 	}
 	row, err := decode(current)
 	if err != nil {
-		return false, err
+		// Another program has written the row. The renewal replaces it.
+		return false
 	}
 	if row.Incarnation == l.Incarnation {
 		l.held = true
-		return row.Fenced, nil
+		return row.Fenced
 	}
 	if !l.rowChecked {
 		l.rowChecked, l.predecessor = true, row.Incarnation
 	}
 	// Any incarnation that appears after the first read is newer than this one.
-	return l.held || row.Incarnation != l.predecessor, nil
+	return l.held || row.Incarnation != l.predecessor
 }
 
 func (l *Leaser) removals(stale []storer.Row, ownKey string) []storer.Put {
--- a/internal/storage/leaser/release_test.go
+++ b/internal/storage/leaser/release_test.go
@@ -14,7 +14,7 @@
 func TestReleaseMarksOwnRow(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		table := &tableserver.Table{}
-		l := &Leaser{Table: table, Name: "entry-1", Incarnation: "entry-1~a", Emit: func(coordinator.Event) {}}
+		l := &Leaser{Table: table, Name: "entry-1", Incarnation: "entry-1~a", Address: "127.0.0.1:1", Emit: func(coordinator.Event) {}}
 		l.Prepare()
 		ctx, cancel := context.WithCancel(t.Context())
 		done := make(chan error, 1)
