Report an announcement as stored if its last write is applied

Cause: Archive.Store saw the success of a write only at the start of the next round, so the fourth write, if applied, ended in a conflict and the endpoint repeated its announcement. Change: Store returns when a write is applied.

--- a/internal/storage/archiver/archiver.go
+++ b/internal/storage/archiver/archiver.go
@@ -20,12 +20,9 @@
 // Prefix is the key prefix of the rows; the name of the agent follows.
 const Prefix = "endpoint/"
 
-// maxWriteAttempts is the number of writes whose success Store recognizes if the row
-// changes concurrently. A write counts as successful at the start of the round that
-// follows it, so Store runs one round more and reports a conflict even if the write of
-// that last round is applied. Only this agent and an earlier incarnation of it write the
-// row.
-const maxWriteAttempts = 3
+// maxWriteAttempts bounds the writes of Store if the row changes concurrently. Only this
+// agent and an earlier incarnation of it write the row.
+const maxWriteAttempts = 4
 
 var errConflict = errors.New("the row was changed by another writer during each attempt")
 
@@ -82,8 +79,8 @@
 	if err != nil {
 		return fmt.Errorf("encode announcement: %w", err)
 	}
-	for range maxWriteAttempts + 1 {
-		if reflect.DeepEqual(a.stored, announcement) || precedesDeparture(announcement, a.stored) {
+	for range maxWriteAttempts {
+		if a.isSettled(announcement) {
 			return nil
 		}
 		put := storer.Put{Key: Prefix + a.Agent, Value: value, Expected: a.row.Revision, Token: rand.Text()}
@@ -93,15 +90,24 @@
 		}
 		if results[0].Applied {
 			a.row, a.stored = results[0].Row, announcement
-			continue
+			return nil
 		}
 		if err := a.read(ctx); err != nil {
 			return err
 		}
 	}
+	if a.isSettled(announcement) {
+		return nil
+	}
 	return fmt.Errorf("store announcement: %w", errConflict)
 }
 
+// isSettled reports whether an announcement needs no write: it is stored, or it precedes
+// the stored departure.
+func (a *Archive) isSettled(announcement supervisor.Announcement) bool {
+	return reflect.DeepEqual(a.stored, announcement) || precedesDeparture(announcement, a.stored)
+}
+
 // precedesDeparture reports whether an announcement was made before the stored departure:
 // an endpoint that departs does not come back in the same boot.
 func precedesDeparture(announcement, stored supervisor.Announcement) bool {
--- a/internal/storage/archiver/archiver_test.go
+++ b/internal/storage/archiver/archiver_test.go
@@ -1,6 +1,9 @@
 package archiver
 
 import (
+	"context"
+	"crypto/rand"
+	"errors"
 	"testing"
 
 	"github.com/google/go-cmp/cmp"
@@ -47,6 +50,39 @@
 	}
 }
 
+// Guards against a stored announcement that is reported as not stored because its last
+// write attempt succeeded: the endpoint would repeat the announcement.
+func TestLastWriteAttemptCounts(t *testing.T) {
+	table := &contendedTable{Table: &tableserver.Table{}, contended: 3}
+	archive := &Archive{Table: table, Agent: "agent-1"}
+	if err := archive.Store(t.Context(), ready); err != nil {
+		t.Error(err)
+	}
+	table.contended = 2 * maxWriteAttempts
+	if err := archive.Store(t.Context(), departing()); !errors.Is(err, errConflict) {
+		t.Errorf("every write was refused, got %v", err)
+	}
+}
+
+// contendedTable is a table in which another writer changes a row before each of the next
+// contended writes to it.
+type contendedTable struct {
+	*tableserver.Table
+	contended int
+}
+
+func (c *contendedTable) Write(ctx context.Context, puts []storer.Put, atomic bool) ([]storer.PutResult, error) {
+	if c.contended > 0 {
+		c.contended--
+		other := puts[0]
+		other.Value, other.Token = []byte{0xff}, rand.Text()
+		if _, err := c.Table.Write(ctx, []storer.Put{other}, atomic); err != nil {
+			return nil, err
+		}
+	}
+	return c.Table.Write(ctx, puts, atomic)
+}
+
 // Guards against a write to the table for each repeated announcement.
 func TestStoredAnnouncementIsNotWrittenAgain(t *testing.T) {
 	table := &tableserver.Table{}
