Keep the refusals of repeatable tasks whose other attempt runs

Cause: a start refused with never_started while another attempt of the task was queued or running left no tombstone, so a late copy of it could start after that attempt. Change: the record keeps the refused attempts, also when a new attempt replaces it.

--- a/internal/dispatch/gatekeeper/starts.go
+++ b/internal/dispatch/gatekeeper/starts.go
@@ -81,11 +81,15 @@
 		// A start from another owner for an attempt that was tombstoned.
 		s.refuse(from, m, messenger.RefusedTombstone, true)
 		return true
+	case slices.Contains(r.refused, attemptKey{m.Owner, m.Attempt}):
+		s.refuse(from, m, messenger.RefusedTombstone, true)
+		return true
 	case r.state == messenger.RecordTombstoned:
 		return false
 	case r.repeatable && r.state == messenger.RecordFinished:
 		return false
 	case r.repeatable:
+		r.refused = append(r.refused, attemptKey{m.Owner, m.Attempt})
 		s.refuse(from, m, messenger.RefusedStarted, true)
 		return true
 	default:
@@ -179,6 +183,9 @@
 		size:       m.Size,
 		position:   m.Position,
 	}
+	if earlier := s.records[m.Task]; earlier != nil {
+		r.refused = earlier.refused
+	}
 	s.storeRecord(r)
 	return r
 }
--- a/internal/dispatch/gatekeeper/state.go
+++ b/internal/dispatch/gatekeeper/state.go
@@ -101,6 +101,9 @@
 	runTime    time.Duration
 	expected   time.Duration
 	keepUntil  time.Time
+	// refused holds the attempts that were refused, with a guarantee that they never start,
+	// while another attempt of a repeatable task was queued or running.
+	refused []attemptKey
 	// stoppedByFence is true if the current attempt was tombstoned because its owner
 	// was fenced.
 	stoppedByFence bool
@@ -117,6 +120,12 @@
 	predecessor *record
 }
 
+// attemptKey identifies an attempt of a task. Each owner numbers its own attempts.
+type attemptKey struct {
+	owner   messenger.Incarnation
+	attempt int
+}
+
 // runKey identifies one run of a volatile task.
 type runKey struct {
 	task messenger.TaskKey
