Find room at any endpoint before a task waits

Cause: with more than 16 free endpoints a choice compared 8 random ones, and answered no_room if none of these had room for the task, although others had. Change: a sample without room is followed by a look at the other free endpoints.

--- a/internal/dispatch/placer/choose.go
+++ b/internal/dispatch/placer/choose.go
@@ -69,8 +69,8 @@
 	// ReasonHeldBack: the task waits for a faster endpoint, or for one where it has not
 	// failed.
 	ReasonHeldBack = "held_back"
-	// ReasonNoRoom: no endpoint of those compared can be chosen, and at least one of them
-	// has too few free resources for the task.
+	// ReasonNoRoom: no endpoint can be chosen, and at least one has too few free resources
+	// for the task.
 	ReasonNoRoom = "no_room"
 )
 
@@ -97,7 +97,8 @@
 
 // Choose returns the endpoint with the least expected finish among those that have a free
 // slot according to the last reports and the tasks sent since. If more than compareAll
-// endpoints are free, it compares a random sample; see also Policy.Spread. It returns
+// endpoints are free, it compares a random sample, or the others if no endpoint of the
+// sample has room for the task; see also Policy.Spread. It returns
 // false if the task should wait. The reason is then ReasonHeldBack or ReasonNoRoom if
 // another task may use the free slots, and empty if no slot can be used.
 func (x *Index) Choose(now time.Time, r *rand.Rand, q Query) (Choice, bool) {
@@ -181,6 +182,21 @@
 			s.consider(c.free[at].member)
 		}
 	}
+	if s.considered == 0 && s.lackedRoom {
+		s.compareWithRoom(r, c)
+	}
+}
+
+// compareWithRoom compares up to sampleSize endpoints with room for the task, from a random
+// one on. It visits all endpoints if it finds fewer.
+func (s *selection) compareWithRoom(r *rand.Rand, c *class) {
+	first := r.IntN(len(c.free))
+	for i := range c.free {
+		s.consider(c.free[(first+i)%len(c.free)].member)
+		if s.considered == sampleSize {
+			return
+		}
+	}
 }
 
 func contains(seen []int, at int) bool {
