--- a/internal/dispatch/messenger/messages.go
+++ b/internal/dispatch/messenger/messages.go
@@ -236,7 +236,11 @@
 }
 
 // Ping is the keep-alive message of an otherwise idle link.
-type Ping struct{}
+type Ping struct {
+	// Padding makes the packet large enough to be answered with a stateless reset by a
+	// restarted peer, which does not answer the smallest packets.
+	Padding []byte `json:"padding,omitempty"`
+}
 
 func (Hello) message()      {}
 func (Welcome) message()    {}
--- a/internal/transport/linker/link.go
+++ b/internal/transport/linker/link.go
@@ -14,6 +14,9 @@
 	"github.com/burdockrudder/burdockrudder/internal/dispatch/messenger"
 )
 
+// pingPadding brings a ping above the size of a stateless reset, 38 bytes.
+var pingPadding = make([]byte, 40)
+
 var (
 	errSilent   = errors.New("link is silent")
 	errOverflow = errors.New("outgoing queue is full")
@@ -198,7 +201,7 @@
 		idle := sent + l.probeInterval - now
 		if idle <= 0 {
 			sent = now
-			l.send(messenger.Ping{})
+			l.send(messenger.Ping{Padding: pingPadding})
 			continue
 		}
 		if wait > 0 {
--- a/internal/transport/linker/wire.go
+++ b/internal/transport/linker/wire.go
@@ -39,12 +39,14 @@
 // stream. Keep-alives are off, because links send their own pings.
 func quicConfig() *quic.Config {
 	return &quic.Config{
-		HandshakeIdleTimeout:  handshakeTimeout,
-		MaxIdleTimeout:        idleTimeout,
-		KeepAlivePeriod:       0,
-		Allow0RTT:             false,
-		MaxIncomingStreams:    1,
-		MaxIncomingUniStreams: -1,
+		HandshakeIdleTimeout: handshakeTimeout,
+		MaxIdleTimeout:       idleTimeout,
+		KeepAlivePeriod:      0,
+		Allow0RTT:            false,
+		// Messages are small, and the probes would be most of the traffic of a new link.
+		DisablePathMTUDiscovery: true,
+		MaxIncomingStreams:      1,
+		MaxIncomingUniStreams:   -1,
 	}
 }
 
@@ -61,6 +63,8 @@
 func withALPN(config *tls.Config) *tls.Config {
 	config = config.Clone()
 	config.NextProtos = []string{protocol}
+	// Connections are never resumed: both ends have new keys after a restart.
+	config.SessionTicketsDisabled = true
 	return config
 }
 
