--- a/internal/dispatch/placer/spread.go
+++ b/internal/dispatch/placer/spread.go
@@ -8,9 +8,16 @@
 	cost   float64
 }
 
+// utilizationMargin is the difference in utilization at which one of two random candidates
+// is preferred. Smaller differences are mostly tasks that the entry does not know of yet, or
+// that have ended.
+const utilizationMargin = 0.4
+
 // spread replaces the best candidate by a random one among those within margin of its
 // cost. Each entry learns with a delay which tasks the others have started. If all
-// entries chose the best endpoint, their tasks would collide there.
+// entries chose the best endpoint, their tasks would collide there. Much busier endpoints
+// are avoided: they are left to entries that have no others, because more callers use them
+// than their share of the endpoints carries.
 func (s *selection) spread(r *rand.Rand, margin float64) {
 	if s.best == nil || margin == 0 {
 		return
@@ -24,6 +31,9 @@
 		near++
 	}
 	chosen := s.compared[r.IntN(near)]
+	if other := s.compared[r.IntN(near)]; other.member.utilization()+utilizationMargin < chosen.member.utilization() {
+		chosen = other
+	}
 	if chosen.member == s.best {
 		return
 	}
