--- a/internal/proof/estimator/model_test.go
+++ b/internal/proof/estimator/model_test.go
@@ -125,7 +125,7 @@
 // Guards against a page that was edited by hand, or that names a mechanism or lacks a
 // slope of the present code.
 func TestPageNamesMechanismsAndSlopes(t *testing.T) {
-	data, err := os.ReadFile(filepath.Join(root, "docs/CAPACITY.md"))
+	data, err := os.ReadFile(filepath.Join(root, "docs/capacity-model.md"))
 	if err != nil {
 		t.Fatal(err)
 	}
