Keep leaving an entry whose link is replaced, without posting to the own loop

Cause: a new connection to an entry that the agent leaves reset that state; and the control goroutine posted to its own event buffer, which blocks it for good if the buffer is full. Change: the gatekeeper keeps the state, the list of left entries is applied directly and again at each choice.

--- a/internal/daemon/launcher/agent_control.go
+++ b/internal/daemon/launcher/agent_control.go
@@ -61,9 +61,10 @@
 	}
 	c.entries = entries
 	c.link()
-	if !slices.Equal(left, c.left) {
+	if len(left) > 0 || len(c.left) > 0 {
+		// Repeated for entries whose link has ended and opened again since.
 		c.left = left
-		c.post(gatekeeper.LeaveEntries{Entries: left})
+		c.executeAll(gatekeeperEffects(c.state.Handle(now, gatekeeper.LeaveEntries{Entries: left})))
 	}
 }
 
--- a/internal/dispatch/gatekeeper/leaving.go
+++ b/internal/dispatch/gatekeeper/leaving.go
@@ -28,6 +28,17 @@
 	}
 }
 
+// entryLinked adds an entry. A new connection to an entry that the agent leaves changes
+// nothing about that, but has to be released again.
+func (s *State) entryLinked(entry messenger.Incarnation) {
+	l := &linkedEntry{}
+	if earlier := s.entries[entry]; earlier != nil {
+		l.leftAt = earlier.leftAt
+	}
+	s.entries[entry] = l
+	s.report(entry)
+}
+
 func (s *State) isLeaving(entry messenger.Incarnation) bool {
 	l := s.entries[entry]
 	return l != nil && !l.leftAt.IsZero()
--- a/internal/dispatch/gatekeeper/state.go
+++ b/internal/dispatch/gatekeeper/state.go
@@ -174,8 +174,7 @@
 	case Tick:
 		s.tick()
 	case EntryLinked:
-		s.entries[e.Entry] = &linkedEntry{}
-		s.report(e.Entry)
+		s.entryLinked(e.Entry)
 	case EntryUnlinked:
 		delete(s.entries, e.Entry)
 	case LeaveEntries:
