--- a/internal/dispatch/coordinator/members.go
+++ b/internal/dispatch/coordinator/members.go
@@ -266,11 +266,15 @@
 // removeLeft removes the agents that have left this entry. Their silence does not show that
 // this entry is cut off.
 func (s *State) removeLeft() {
-	for _, a := range slices.Clone(s.sortedAgents) {
+	var left []*agent
+	for _, a := range s.sortedAgents {
 		if a.leaving && len(a.sent) == 0 && s.now.Sub(a.lastMessageAt) >= s.Config.SilentAfter {
-			s.agentGone(a, "the agent has left this entry")
+			left = append(left, a)
 		}
 	}
+	for _, a := range left {
+		s.agentGone(a, "the agent has left this entry")
+	}
 }
 
 // releaseCopies frees the slots of the unanswered attempts of a given-up task.
