--- a/internal/storage/leaser/leaser.go
+++ b/internal/storage/leaser/leaser.go
@@ -177,7 +177,7 @@
 		l.held = true
 		return coordinator.LeaseRenewed{Directory: replaceEntry(entries, row)}, nil
 	}
-	// Without a revision, the row is gone or odd; the next renewal reads which.
+	// Without a revision, the row is gone or malformed; the next renewal reads which.
 	if results[0].Row.Revision > 0 && l.leaseLost(results[0].Row, true) {
 		return coordinator.LeaseRenewed{Fenced: true, Directory: entries}, nil
 	}
