--- a/internal/transport/linker/setup_test.go
+++ b/internal/transport/linker/setup_test.go
@@ -42,10 +42,9 @@
 	return n, from, err
 }
 
-// Guards against links whose set-up takes the bandwidth that the callers need. After a
-// restart of all entries of lamis-ops-large, every link is set up at once, over links of
-// hosts that carry as little as 20 Mbit/s.
-func TestLinkSetupIsSmall(t *testing.T) {
+// Guards against probes of the path MTU and session tickets, which were half of the traffic
+// of a link's set-up.
+func TestLinkSetupSendsNoProbes(t *testing.T) {
 	authority := testAuthority(t)
 	bound, err := net.ListenPacket("udp", loopbackAny)
 	if err != nil {
