--- a/review/_standin/fleet.go
+++ b/review/_standin/fleet.go
@@ -223,11 +223,11 @@
 
 // process is one of the project's own processes.
 type process struct {
-	fleet   *fleet
-	name    string
-	role    string
-	front   string
-	config  string
+	fleet  *fleet
+	name   string
+	role   string
+	front  string
+	config string
 
 	mu      sync.Mutex
 	command *exec.Cmd
