Follow another boot of an endpoint only after it has answered

Cause: the agent took an announcement with a later boot time as proof of a restart, and a restart as proof that the listed runs had ended. It reported them without a stop, and the entry placed them elsewhere while they ran on under their lease. An announcement is a claim; only an answer from the endpoint shows which boot is there.

Change: an announced boot is probed with a hold that renews no lease, and followed only when it answers with the announced boot time; at another address, only once the leases of the followed boot have lapsed.

--- a/internal/daemon/launcher/agent_control.go
+++ b/internal/daemon/launcher/agent_control.go
@@ -96,9 +96,9 @@
 type agentEvent struct {
 	gatekeeper gatekeeper.Event
 	endpoint   supervisor.Event
-	// announced is an announcement; handled is closed after it has been processed.
+	// announced is an announcement; handled receives the result of its processing.
 	announced *supervisor.Announcement
-	handled   chan struct{}
+	handled   chan error
 	// stored is the announcement stored by an earlier incarnation of this agent.
 	stored *supervisor.Announcement
 	// entries are the entries listed in the table.
@@ -118,11 +118,10 @@
 func (c *agentControl) handle(now time.Time, event agentEvent) []agentEffect {
 	switch {
 	case event.announced != nil:
-		defer close(event.handled)
-		return c.handleAnnouncement(now, *event.announced)
+		return c.handleAnnouncement(*event.announced, event.handled)
 	case event.stored != nil:
 		c.endpoint.stored = *event.stored
-		return c.useStoredAnnouncement(now)
+		return c.useStoredAnnouncement()
 	case event.entries != nil:
 		c.targets.list(now, event.entries)
 		c.chooseEntries(now)
--- a/internal/daemon/launcher/endpoint_control.go
+++ b/internal/daemon/launcher/endpoint_control.go
@@ -1,6 +1,8 @@
 package launcher
 
 import (
+	"errors"
+	"fmt"
 	"time"
 
 	"go.uber.org/zap"
@@ -27,10 +29,15 @@
 	Lease time.Duration
 }
 
+// ErrUnconfirmedBoot means that an announcement was not used, because the endpoint beside
+// this agent has not answered from the announced boot.
+var ErrUnconfirmedBoot = errors.New("the endpoint has not answered from the announced boot")
+
 // AnnouncementSink receives the announcements of a leased endpoint.
 // EndpointAnnounced returns after the agent has handled the announcement. An error means
-// that the announcement may not be stored, so that a later incarnation of the agent might
-// not know of it: the announcement must not be confirmed to the endpoint.
+// that the announcement was not used (ErrUnconfirmedBoot) or may not be stored, so that a
+// later incarnation of the agent might not know of it: the announcement must not be
+// confirmed to the endpoint.
 type AnnouncementSink interface {
 	EndpointAnnounced(announcement supervisor.Announcement) error
 }
@@ -41,9 +48,11 @@
 	// host is suspended. The gatekeeper's times, from agentControl.clock, do advance then.
 	state         *supervisor.State
 	endpointCalls *supervisor.Caller
-	// announcement is the last announcement, handled at announcedAt.
+	// announcement is the last announcement of a confirmed boot, handled at announcedAt.
 	announcement supervisor.Announcement
 	announcedAt  time.Time
+	// unconfirmed are the announcements whose boot has not been confirmed yet, oldest first.
+	unconfirmed []unconfirmedAnnouncement
 	// stored is the announcement stored by an earlier incarnation of this agent. It is
 	// used only if the endpoint has answered from the same boot.
 	stored  supervisor.Announcement
@@ -71,10 +80,13 @@
 
 // EndpointAnnounced implements AnnouncementSink.
 func (c *agentControl) EndpointAnnounced(announcement supervisor.Announcement) error {
-	handled := make(chan struct{})
+	handled := make(chan error, 1)
 	c.loop.post(agentEvent{announced: &announcement, handled: handled})
 	select {
-	case <-handled:
+	case err := <-handled:
+		if err != nil {
+			return err
+		}
 	case <-c.loop.stopped:
 	}
 	if c.endpoint.archive == nil {
@@ -83,26 +95,82 @@
 	return c.endpoint.archive.store(announcement)
 }
 
-// handleAnnouncement records an announcement and forwards it to the gatekeeper if the
-// endpoint is ready. Otherwise the gatekeeper would accept tasks that cannot be started.
-func (c *agentControl) handleAnnouncement(now time.Time, a supervisor.Announcement) []agentEffect {
+// unconfirmedAnnouncement is an announcement whose boot is being probed. handled, if set,
+// receives the result.
+type unconfirmedAnnouncement struct {
+	supervisor.Announcement
+	handled chan<- error
+}
+
+// handleAnnouncement uses an announcement once the endpoint has answered from its boot.
+func (c *agentControl) handleAnnouncement(a supervisor.Announcement, handled chan<- error) []agentEffect {
+	e := c.endpoint
+	e.unconfirmed = append(e.unconfirmed, unconfirmedAnnouncement{Announcement: a, handled: handled})
+	if a.Departing && a.Boot.Born == 0 {
+		// The endpoint has not announced itself to this incarnation of the agent.
+		return c.useAnnouncements(a.Boot)
+	}
+	return endpointEffects(e.state.Handle(time.Now(), supervisor.Announced{Boot: a.Boot}))
+}
+
+// useAnnouncements records the announcements of a confirmed boot and forwards the last one
+// to the gatekeeper.
+func (c *agentControl) useAnnouncements(boot supervisor.Boot) []agentEffect {
 	e := c.endpoint
-	e.announcement, e.announcedAt = a, time.Now()
-	effects := endpointEffects(e.state.Handle(time.Now(), supervisor.Announced{Boot: a.Boot}))
-	return append(effects, c.forwardAnnouncement(now)...)
+	for _, a := range c.takeUnconfirmed(boot) {
+		if e.announcement.ContradictedBy(a.Announcement) {
+			c.logger.Warn("announcement not used: its service is not the one of its boot",
+				zap.String("endpoint", boot.ID), zap.String("service", a.Service), zap.String("known", e.announcement.Service))
+			a.answer(fmt.Errorf("%w: service %q", ErrUnconfirmedBoot, a.Service))
+			continue
+		}
+		e.announcement, e.announcedAt = a.Announcement, time.Now()
+		a.answer(nil)
+	}
+	return c.forwardAnnouncement(c.clock.now())
+}
+
+// dropAnnouncements answers the announcements of a boot that was not confirmed.
+func (c *agentControl) dropAnnouncements(u supervisor.Unconfirmed) {
+	c.logger.Warn("announcement not used: the endpoint has not answered from the announced boot",
+		zap.String("endpoint", u.Boot.ID), zap.String("address", u.Boot.Address), zap.Int64("born", u.Boot.Born),
+		zap.String("followed", c.endpoint.state.Boot.ID), zap.String("reason", u.Reason))
+	for _, a := range c.takeUnconfirmed(u.Boot) {
+		a.answer(fmt.Errorf("%w: %s", ErrUnconfirmedBoot, u.Reason))
+	}
+}
+
+// takeUnconfirmed removes and returns the unconfirmed announcements of a boot.
+func (c *agentControl) takeUnconfirmed(boot supervisor.Boot) []unconfirmedAnnouncement {
+	var taken, others []unconfirmedAnnouncement
+	for _, a := range c.endpoint.unconfirmed {
+		if a.Boot == boot {
+			taken = append(taken, a)
+		} else {
+			others = append(others, a)
+		}
+	}
+	c.endpoint.unconfirmed = others
+	return taken
+}
+
+func (a *unconfirmedAnnouncement) answer(err error) {
+	if a.handled != nil {
+		a.handled <- err
+	}
 }
 
 // useStoredAnnouncement handles the announcement stored by an earlier incarnation of this
 // agent, if the endpoint has not announced itself since and has answered from the same
 // boot.
-func (c *agentControl) useStoredAnnouncement(now time.Time) []agentEffect {
+func (c *agentControl) useStoredAnnouncement() []agentEffect {
 	e := c.endpoint
 	if !e.announcedAt.IsZero() || e.stored.Boot.Born == 0 || e.stored.Boot.Born != e.state.Boot.Born {
 		return nil
 	}
 	c.logger.Info("using the endpoint announcement stored by an earlier incarnation", zap.String("endpoint", e.stored.Boot.ID),
 		zap.Int64("born", e.stored.Boot.Born), zap.Bool("departing", e.stored.Departing))
-	return c.handleAnnouncement(now, e.stored)
+	return c.handleAnnouncement(e.stored, nil)
 }
 
 // forwardAnnouncement forwards the last announcement to the gatekeeper. An announcement
@@ -164,10 +232,14 @@
 		c.logger.Info("endpoint is ready for tasks",
 			zap.String("endpoint", e.Boot.ID), zap.String("address", e.Boot.Address), zap.Int64("born", e.Boot.Born))
 		c.link()
-		return c.executeAll(append(c.useStoredAnnouncement(now), c.forwardAnnouncement(now)...))
+		return c.executeAll(append(c.useStoredAnnouncement(), c.forwardAnnouncement(now)...))
 	case supervisor.Unready:
 		c.logger.Warn("endpoint is not ready; refusing new tasks", zap.String("reason", e.Reason))
 		return c.executeAll(gatekeeperEffects(c.state.Handle(now, gatekeeper.EndpointDeparting{})))
+	case supervisor.Confirmed:
+		return c.executeAll(c.useAnnouncements(e.Boot))
+	case supervisor.Unconfirmed:
+		c.dropAnnouncements(e)
 	case supervisor.LogMessage:
 		c.logger.Info(e.Message,
 			zap.String("job", e.Run.Job), zap.Int("step", e.Run.Position.Step), zap.Int("index", e.Run.Position.Index),
--- a/internal/edge/supervisor/announcement.go
+++ b/internal/edge/supervisor/announcement.go
@@ -13,3 +13,9 @@
 	// Departing is true if the endpoint is leaving and accepts no new tasks.
 	Departing bool `json:"departing"`
 }
+
+// ContradictedBy reports whether another announcement can't be one of the same endpoint: the
+// service of an endpoint does not change within a boot.
+func (a Announcement) ContradictedBy(other Announcement) bool {
+	return a.Boot == other.Boot && a.Service != "" && other.Service != "" && a.Service != other.Service
+}
--- a/internal/edge/supervisor/events.go
+++ b/internal/edge/supervisor/events.go
@@ -13,7 +13,8 @@
 // lease.
 type Tick struct{}
 
-// Announced reports that the endpoint has announced itself.
+// Announced reports that an endpoint has announced itself. Confirmed or Unconfirmed
+// follows: any process can send an announcement, so that it proves nothing by itself.
 type Announced struct {
 	Boot Boot `json:"boot"`
 }
@@ -95,6 +96,16 @@
 // Unready reports that the endpoint must not be given new tasks for now.
 type Unready struct{ Reason string }
 
+// Confirmed reports that the endpoint has answered from the boot that was announced.
+type Confirmed struct{ Boot Boot }
+
+// Unconfirmed reports that an announced boot is not the one of the endpoint, as far as is
+// known.
+type Unconfirmed struct {
+	Boot   Boot
+	Reason string
+}
+
 // LogMessage is an event for the log.
 type LogMessage struct {
 	Message string
@@ -103,11 +114,13 @@
 	Age     time.Duration
 }
 
-func (CallStart) effect()  {}
-func (CallStop) effect()   {}
-func (CallHold) effect()   {}
-func (Wake) effect()       {}
-func (Ended) effect()      {}
-func (Ready) effect()      {}
-func (Unready) effect()    {}
-func (LogMessage) effect() {}
+func (CallStart) effect()   {}
+func (CallStop) effect()    {}
+func (CallHold) effect()    {}
+func (Wake) effect()        {}
+func (Ended) effect()       {}
+func (Ready) effect()       {}
+func (Unready) effect()     {}
+func (Confirmed) effect()   {}
+func (Unconfirmed) effect() {}
+func (LogMessage) effect()  {}
--- a/internal/edge/supervisor/lists.go
+++ b/internal/edge/supervisor/lists.go
@@ -8,6 +8,11 @@
 
 // holdAnswered applies the lists of runs and ends in the answer to a hold.
 func (s *State) holdAnswered(e HoldAnswered) {
+	if p, probing := s.probes[e.Call]; probing {
+		delete(s.probes, e.Call)
+		s.probeAnswered(p, e)
+		return
+	}
 	sentAt, known := s.holds[e.Call]
 	if !known {
 		// The hold was sent to an earlier boot.
@@ -43,6 +48,7 @@
 		s.rebooted(e.Lists.Born)
 	}
 	s.Boot.Born = e.Lists.Born
+	s.confirmProbes()
 	overtaken := sentAt.Before(s.answeredAt) && e.Lists.Clock < s.clock
 	s.answeredAt = s.now
 	s.missed = 0
--- a/internal/edge/supervisor/model_test.go
+++ b/internal/edge/supervisor/model_test.go
@@ -31,6 +31,8 @@
 	invoked  int
 	// succeeded counts the runs that were reported as succeeded.
 	succeeded int
+	// confirmed counts the confirmed announcements.
+	confirmed int
 	downUntil time.Time
 	// contacted is true once the agent has reached this boot with a token above
 	// previousToken, the last token of the previous boot. A delayed hold for the previous
@@ -165,10 +167,22 @@
 			m.transmit(func() Event { return StopAnswered{Run: e.Stop.Run, Refusal: m.stop(e.Stop)} },
 				StopAnswered{Run: e.Stop.Run, NoAnswer: true})
 		case CallHold:
+			if e.Hold.Boot.Address != endpointAddress {
+				m.after(time.Millisecond, func() { m.handle(HoldAnswered{Call: e.Call, NoAnswer: true}) })
+				continue
+			}
 			m.transmit(func() Event {
+				if id := e.Hold.Boot.ID; id != "" && id != m.announcement().ID {
+					return HoldAnswered{Call: e.Call, Refusal: RefusedBoot}
+				}
 				lists, refusal := m.hold(e.Hold)
 				return HoldAnswered{Call: e.Call, Lists: lists, Refusal: refusal}
 			}, HoldAnswered{Call: e.Call, NoAnswer: true})
+		case Confirmed:
+			if e.Boot != m.announcement() && m.born == e.Boot.Born {
+				m.t.Fatalf("%v: %+v was confirmed, the endpoint is %+v", m.now, e.Boot, m.announcement())
+			}
+			m.confirmed++
 		case Wake:
 			m.after(e.After, func() { m.handle(Tick{}) })
 		case Ended:
@@ -177,6 +191,29 @@
 	}
 }
 
+const endpointAddress = "endpoint"
+
+// announcement returns the boot that the endpoint announces.
+func (m *model) announcement() Boot { return Boot{ID: "i1", Address: endpointAddress, Born: m.born} }
+
+// announce sends the endpoint's announcement, or one of another writer, which claims a later
+// boot, an ID or an address of its own.
+func (m *model) announce() {
+	boot := m.announcement()
+	if m.random.IntN(3) == 0 {
+		boot.Born += int64(1 + m.random.IntN(5))
+		if m.random.IntN(2) == 0 {
+			boot.ID = "i9"
+		}
+		if m.random.IntN(2) == 0 {
+			boot.Address = "elsewhere"
+		}
+	} else if m.now.Before(m.downUntil) {
+		return
+	}
+	m.handle(Announced{Boot: boot})
+}
+
 func (m *model) end(e Ended) {
 	if !m.open[e.Run] {
 		m.t.Fatalf("%v: %v ended twice", m.now, e.Run)
@@ -204,7 +241,7 @@
 
 // Guards against a run that is reported as ended while it still runs or may start later,
 // that is reported twice, or that is never reported. The causes are late orders, lost
-// answers and crashes of the endpoint.
+// answers, crashes of the endpoint and announcements of other writers.
 func TestRunsEndOnceAndForGood(t *testing.T) {
 	// The first seeds have failed in the past. For seed 263, see model.contacted.
 	seeds := []uint64{263, 34, 51, 16}
@@ -217,7 +254,7 @@
 			m := &model{
 				t: t, random: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1_000_000, 0),
 				finished: map[Run]bool{}, open: map[Run]bool{},
-				state: &State{Token: 1, Boot: Boot{ID: "i1", Address: "endpoint"}},
+				state: &State{Token: 1, Boot: Boot{Address: endpointAddress}},
 			}
 			m.boot()
 			m.play(60 * time.Second)
@@ -226,6 +263,9 @@
 			}
 			// 20% of the runs are aborted, 5% of the orders are late, and the endpoint is
 			// down 20% of the time.
+			if m.confirmed < 100 {
+				t.Errorf("only %d announcements were confirmed", m.confirmed)
+			}
 			if m.invoked < 100 || m.succeeded < m.invoked*2/5 {
 				t.Errorf("only %d of %d runs succeeded", m.succeeded, m.invoked)
 			}
@@ -253,7 +293,13 @@
 		m.boot()
 		m.after(time.Duration(5+m.random.IntN(10))*time.Second, crash)
 	}
+	var announce func()
+	announce = func() {
+		m.announce()
+		m.after(time.Duration(100+m.random.IntN(300))*time.Millisecond, announce)
+	}
 	m.after(0, tick)
+	m.after(0, announce)
 	m.after(time.Second, load)
 	m.after(7*time.Second, crash)
 	m.advance(end)
--- a/internal/edge/supervisor/script_test.go
+++ b/internal/edge/supervisor/script_test.go
@@ -31,7 +31,9 @@
 	effects []Effect
 	// holds are the numbers of the holds that have not been answered, oldest first.
 	holds []uint64
-	born  int64
+	// probes are the numbers of the probes that have not been answered, oldest first.
+	probes []uint64
+	born   int64
 }
 
 func (h *harness) handle(at time.Duration, event Event) {
@@ -40,6 +42,10 @@
 	h.effects = append(h.effects, effects...)
 	for _, effect := range effects {
 		if hold, ok := effect.(CallHold); ok {
+			if _, probing := h.state.probes[hold.Call]; probing {
+				h.probes = append(h.probes, hold.Call)
+				continue
+			}
 			h.holds = append(h.holds, hold.Call)
 		}
 	}
@@ -69,7 +75,9 @@
 		h.handle(step.At, Tick{})
 		h.hold(step)
 	case "announce":
-		h.handle(step.At, Announced{Boot: Boot{ID: "i1", Address: "endpoint", Born: int64(step.Int(h.t, "born", 1))}})
+		h.handle(step.At, Announced{Boot: Boot{
+			ID: step.Text("id", "i1"), Address: step.Text("address", "endpoint"), Born: int64(step.Int(h.t, "born", 1)),
+		}})
 	case "invoke":
 		r := runNamed(step.Word(0))
 		h.handle(step.At, Invoke{Run: r, Task: messenger.TaskKey{Submission: messenger.SubmissionKey{ID: r.Job}}})
@@ -85,6 +93,13 @@
 		})
 	case "hold":
 		h.hold(step)
+	case "probe":
+		if len(h.probes) == 0 {
+			h.t.Fatalf("line %d: no probe to answer", step.Line)
+		}
+		call := h.probes[0]
+		h.probes = h.probes[1:]
+		h.answer(step, call, int64(step.Int(h.t, "born", 0)))
 	default:
 		h.t.Fatalf("line %d: unknown verb %s", step.Line, step.Verb)
 	}
@@ -102,9 +117,13 @@
 	call := h.holds[at]
 	h.holds = append(h.holds[:at], h.holds[at+1:]...)
 	h.born = int64(step.Int(h.t, "born", int(h.born)))
+	h.answer(step, call, h.born)
+}
+
+func (h *harness) answer(step scripter.Step, call uint64, born int64) {
 	e := HoldAnswered{
 		Call: call, NoAnswer: step.Has("lost"), Refusal: Refusal(step.Text("refusal", "")),
-		Lists: Lists{Born: h.born, Clock: 1000*time.Second + step.At},
+		Lists: Lists{Born: born, Clock: 1000*time.Second + step.At},
 	}
 	for _, name := range fields(step.Text("running", "")) {
 		e.Lists.Running = append(e.Lists.Running, runNamed(name))
@@ -149,8 +168,12 @@
 		return fmt.Sprintf("stop %s token=%d", nameOf(e.Stop.Run), e.Stop.Token)
 	case CallHold:
 		if strings.Contains(wanted, "hold ") {
-			return fmt.Sprintf("hold until=%s token=%d observed=%d wait=%s",
+			text := fmt.Sprintf("hold until=%s token=%d observed=%d wait=%s",
 				e.Hold.Until, e.Hold.Token, e.Hold.Observed, e.Hold.Wait)
+			if strings.Contains(wanted, "boot=") {
+				text += " boot=" + e.Hold.Boot.ID
+			}
+			return text
 		}
 	case Ended:
 		return fmt.Sprintf("ended %s %s", nameOf(e.Run), e.Outcome.State)
@@ -158,6 +181,10 @@
 		return "ready"
 	case Unready:
 		return "unready"
+	case Confirmed:
+		return fmt.Sprintf("confirmed %s born=%d", e.Boot.ID, e.Boot.Born)
+	case Unconfirmed:
+		return fmt.Sprintf("unconfirmed %s born=%d", e.Boot.ID, e.Boot.Born)
 	case LogMessage:
 	}
 	return ""
--- a/internal/edge/supervisor/state.go
+++ b/internal/edge/supervisor/state.go
@@ -89,6 +89,8 @@
 
 	calls uint64
 	holds map[uint64]time.Time
+	// probes are the holds in flight that confirm an announced boot.
+	probes map[uint64]probe
 	// waitingHold is the number of the hold that waits for the next end, or zero.
 	waitingHold uint64
 	nextHold    time.Time
@@ -170,6 +172,7 @@
 	s.runs = make(map[Run]*run)
 	s.orphans = make(map[Run]time.Time)
 	s.holds = make(map[uint64]time.Time)
+	s.probes = make(map[uint64]probe)
 	s.startedAt = now
 	// The runs that an earlier incarnation of this process ordered end within one lease.
 	s.now = now
@@ -263,18 +266,6 @@
 	s.emit(Ended{Task: r.task, Run: r.Run, Outcome: outcome, RunTime: runTime})
 }
 
-// announced records the boot that the endpoint announces.
-func (s *State) announced(boot Boot) {
-	if boot.Born < s.Boot.Born {
-		s.emit(LogMessage{Message: "ignored the announcement of an earlier boot", Reason: boot.ID})
-		return
-	}
-	if s.Boot.Born != 0 && boot.Born > s.Boot.Born {
-		s.rebooted(boot.Born)
-	}
-	s.Boot = boot
-}
-
 // rebooted ends the runs that were listed in the previous boot. Other runs may have
 // reached the new boot, so they are stopped there first. The token is raised so that
 // the new boot refuses delayed orders for the previous one.
