Repeat the cancel of a cancelled attempt over a new link, not its start

Cause: when an agent replaces a silent link, the entry repeats the starts without an answer, also of attempts that it has cancelled since. The cancels, lost with the old link, were not repeated. The same holds for runs cancelled as overdue.

Change: the cancel is repeated in place of the start.

--- a/internal/dispatch/coordinator/members.go
+++ b/internal/dispatch/coordinator/members.go
@@ -65,8 +65,8 @@
 }
 
 // agentLinked handles a new link of an agent. Another incarnation means that the former
-// one is gone. The same incarnation is sent the unanswered starts again; this is
-// harmless because the agent answers a known task with its state.
+// one is gone. The same incarnation is sent the unanswered starts and cancels again; this
+// is harmless because the agent answers a known task with its state.
 func (s *State) agentLinked(hello messenger.Hello) {
 	a := s.agents[hello.Name]
 	if a != nil && a.incarnation != hello.Incarnation {
@@ -105,8 +105,7 @@
 
 func (s *State) resend(a *agent) {
 	for _, key := range a.sortedCopies() {
-		t := a.sent[key]
-		s.send(a.incarnation, s.startMessage(t, key.attempt, a))
+		s.resendCopy(a, key)
 	}
 	s.resendWitnesses(a)
 	for _, t := range s.sortedTakeovers() {
@@ -116,6 +115,17 @@
 	}
 }
 
+// resendCopy repeats the last message about an unanswered attempt. A cancelled attempt must
+// not start, so its start is not repeated.
+func (s *State) resendCopy(a *agent, key copyKey) {
+	t := a.sent[key]
+	if i := t.copyOf(key.attempt); i >= 0 && t.copies[i].cancelSent {
+		s.send(a.incarnation, messenger.Cancel{Task: key.task, Attempt: key.attempt})
+		return
+	}
+	s.send(a.incarnation, s.startMessage(t, key.attempt, a))
+}
+
 func (a *agent) sortedCopies() []copyKey {
 	keys := make([]copyKey, 0, len(a.sent))
 	for key := range a.sent {
