Report a run as not run only if its start was refused or never sent

Cause: after a start without an answer the agent stops the run, and took an acknowledged stop and a list without the run as proof that it had never started. The list only tells of the boot that answers: an earlier boot may have started the run, and after the report a late start may reach the next boot under the same id.

Change: such a run ends as may_have_run. The task is placed again as before; if that fails, the caller is told outcome_unknown.

--- a/internal/dispatch/coordinator/results.go
+++ b/internal/dispatch/coordinator/results.go
@@ -14,19 +14,11 @@
 		s.collectFinished(from, m)
 		return
 	}
-	outcome := placer.Succeeded
-	switch m.Outcome.State {
-	case messenger.TaskFailed:
-		outcome = placer.Failed
-	case messenger.TaskMayHaveRun, messenger.TaskNotRun, messenger.TaskInterrupted:
-		outcome = placer.Lost
-	case messenger.TaskSucceeded:
+	outcome := s.placementResult(t, m)
+	if outcome == placer.Succeeded {
 		s.recordSuccess(from)
 	}
-	if s.endedAsOverdue(t, m) {
-		outcome = placer.Failed
-	}
-	if outcome == placer.Failed {
+	if outcome == placer.Failed && m.Outcome.State != messenger.TaskMayHaveRun {
 		t.failedAt = append(t.failedAt, s.endpointOf(from))
 	}
 	removed := s.removeCopy(t, m.Attempt, from, placer.TaskResult{RunTime: m.RunTime, Outcome: outcome})
@@ -42,6 +34,26 @@
 	}
 }
 
+// placementResult returns what the result of an attempt tells about its endpoint. An endpoint
+// that leaves the start of a volatile task unanswered counts as failing.
+func (s *State) placementResult(t *task, m messenger.Finished) placer.Outcome {
+	switch m.Outcome.State {
+	case messenger.TaskSucceeded:
+		return placer.Succeeded
+	case messenger.TaskFailed:
+		return placer.Failed
+	case messenger.TaskMayHaveRun:
+		if t.job.submission.Volatile {
+			return placer.Failed
+		}
+	case messenger.TaskNotRun, messenger.TaskInterrupted:
+	}
+	if s.endedAsOverdue(t, m) {
+		return placer.Failed
+	}
+	return placer.Lost
+}
+
 func (s *State) recordSuccess(from messenger.Incarnation) {
 	if a := s.agentByIncarnation[from]; a != nil {
 		a.lastSuccessAt = s.now
--- a/internal/edge/supervisor/events.go
+++ b/internal/edge/supervisor/events.go
@@ -80,8 +80,9 @@
 // Wake requests a Tick after the given time.
 type Wake struct{ After time.Duration }
 
-// Ended reports the confirmed end of a run: the run is not in progress and cannot
-// start any more.
+// Ended reports the confirmed end of a run: the run is not in progress, and the boot that
+// was followed at its end cannot start it any more. Only a run whose start was refused or
+// never sent is reported as not run.
 type Ended struct {
 	Task    messenger.TaskKey     `json:"task"`
 	Run     Run                   `json:"run"`
--- a/internal/edge/supervisor/lists.go
+++ b/internal/edge/supervisor/lists.go
@@ -167,7 +167,9 @@
 		if r.stopAckedAt.IsZero() || sentAt.Before(r.stopAckedAt) {
 			return
 		}
-		outcome := messenger.TaskOutcome{State: messenger.TaskNotRun, Reason: "stopped before it started"}
+		// Neither the acknowledged stop nor the list shows that the run has never started: an
+		// earlier boot may have started it, and a late start may reach the next boot.
+		outcome := messenger.TaskOutcome{State: messenger.TaskMayHaveRun, Reason: "stopped; the endpoint has not confirmed the start"}
 		if r.startConfirmed {
 			outcome = messenger.TaskOutcome{State: messenger.TaskInterrupted, Reason: "stopped"}
 		}
--- a/internal/edge/supervisor/model_test.go
+++ b/internal/edge/supervisor/model_test.go
@@ -27,6 +27,9 @@
 	// runNames maps the endpoint's identifier of a run to the supervisor's.
 	runNames map[emulator.Run]Run
 	finished map[Run]bool
+	// started are the runs that any boot has started, notRun those that were reported as
+	// never started.
+	started, notRun map[Run]bool
 	open     map[Run]bool
 	invoked  int
 	// succeeded counts the runs that were reported as succeeded.
@@ -66,6 +69,10 @@
 	if refusal := m.endpoint.Start(m.now, run, s.Token, s.Until); refusal != "" {
 		return refusalOf(refusal)
 	}
+	m.started[s.Run] = true
+	if m.notRun[s.Run] {
+		m.t.Fatalf("%v: %v started after it was reported as not run", m.now, s.Run)
+	}
 	if m.finished[s.Run] && m.contacted {
 		m.t.Fatalf("%v: %v started after its end was reported", m.now, s.Run)
 	}
@@ -224,6 +231,12 @@
 		m.t.Fatalf("%v: %v was reported as %s but is still running", m.now, e.Run, e.Outcome.State)
 	}
 	m.finished[e.Run] = true
+	if e.Outcome.State == messenger.TaskNotRun {
+		m.notRun[e.Run] = true
+		if m.started[e.Run] {
+			m.t.Fatalf("%v: %v was reported as not run, but it has started", m.now, e.Run)
+		}
+	}
 	if e.Outcome.State == messenger.TaskSucceeded {
 		m.succeeded++
 	}
@@ -240,7 +253,8 @@
 }
 
 // Guards against a run that is reported as ended while it still runs or may start later,
-// that is reported twice, or that is never reported. The causes are late orders, lost
+// that is reported twice or never, or that is reported as not run although a boot has
+// started it or starts it later. The causes are late orders, lost
 // answers, crashes of the endpoint and announcements of other writers.
 func TestRunsEndOnceAndForGood(t *testing.T) {
 	// The first seeds have failed in the past. For seed 263, see model.contacted.
@@ -253,7 +267,7 @@
 			t.Parallel()
 			m := &model{
 				t: t, random: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1_000_000, 0),
-				finished: map[Run]bool{}, open: map[Run]bool{},
+				finished: map[Run]bool{}, open: map[Run]bool{}, started: map[Run]bool{}, notRun: map[Run]bool{},
 				state: &State{Token: 1, Boot: Boot{Address: endpointAddress}},
 			}
 			m.boot()
