--- a/internal/dispatch/coordinator/effects.go
+++ b/internal/dispatch/coordinator/effects.go
@@ -114,6 +114,10 @@
 	// calls, DecisionRelieved that it has enough again.
 	DecisionStrained DecisionKind = "strained"
 	DecisionRelieved DecisionKind = "relieved"
+	// DecisionDrop reports that an agent or an entry was dropped for its silence,
+	// DecisionTakeBack that it was added again over the same link.
+	DecisionDrop     DecisionKind = "drop"
+	DecisionTakeBack DecisionKind = "take_back"
 )
 
 // Drained reports that the graceful stop is complete.
--- a/internal/dispatch/coordinator/members.go
+++ b/internal/dispatch/coordinator/members.go
@@ -158,6 +158,9 @@
 // ones that repeats the last sequence number because the load has changed.
 func (s *State) report(from messenger.Incarnation, m messenger.Report) {
 	a := s.agentByIncarnation[from]
+	if a == nil {
+		a = s.takeBackAgent(from)
+	}
 	if a == nil || m.Sequence < a.sequence {
 		return
 	}
@@ -269,10 +272,15 @@
 		return
 	}
 	for _, a := range gone {
-		s.agentGone(a, "the agent was silent for too long")
+		s.dropAgent(a, "the agent was silent for too long")
 	}
 }
 
+func (s *State) dropAgent(a *agent, reason string) {
+	s.agentGone(a, reason)
+	s.remember(a.hello, reason)
+}
+
 // removeLeft removes the agents that have left this entry. Their silence does not show that
 // this entry is cut off.
 func (s *State) removeLeft() {
@@ -283,7 +291,7 @@
 		}
 	}
 	for _, a := range left {
-		s.agentGone(a, "the agent has left this entry")
+		s.dropAgent(a, "the agent has left this entry")
 	}
 }
 
--- a/internal/dispatch/coordinator/peers.go
+++ b/internal/dispatch/coordinator/peers.go
@@ -69,6 +69,8 @@
 	for _, p := range s.sortedPeers() {
 		if s.now.Sub(p.lastMessageAt) > s.Config.GoneAfter {
 			delete(s.peers, p.incarnation)
+			hello := messenger.Hello{Role: messenger.RoleEntry, Name: p.name, Incarnation: p.incarnation}
+			s.remember(hello, "the entry was silent for too long")
 			continue
 		}
 		s.sendPeerStatus(p)
@@ -89,6 +91,9 @@
 
 func (s *State) peerStatus(from messenger.Incarnation, m messenger.PeerStatus) {
 	p := s.peers[from]
+	if p == nil {
+		p = s.takeBackPeer(from)
+	}
 	if p == nil {
 		return
 	}
--- a/internal/dispatch/coordinator/state.go
+++ b/internal/dispatch/coordinator/state.go
@@ -48,6 +48,8 @@
 	sortedAgents       []*agent
 	agentByIncarnation map[messenger.Incarnation]*agent
 	peers              map[messenger.Incarnation]*peer
+	// dropped holds the agents and peers that were dropped for their silence.
+	dropped map[messenger.Incarnation]droppedProcess
 	// answeredBy holds the entries that have answered this entry. They need this
 	// entry's status to confirm their settings, even after they are cut off.
 	answeredBy map[messenger.Incarnation]bool
@@ -166,6 +168,7 @@
 	s.agents = make(map[string]*agent)
 	s.agentByIncarnation = make(map[messenger.Incarnation]*agent)
 	s.peers = make(map[messenger.Incarnation]*peer)
+	s.dropped = make(map[messenger.Incarnation]droppedProcess)
 	s.answeredBy = make(map[messenger.Incarnation]bool)
 	s.unlistedPeers = make(map[messenger.Incarnation]bool)
 	s.jobs = make(map[messenger.SubmissionKey]*job)
--- a/internal/dispatch/coordinator/tick.go
+++ b/internal/dispatch/coordinator/tick.go
@@ -4,6 +4,7 @@
 func (s *State) tick() {
 	s.renewTick()
 	s.watchAgents()
+	s.forgetDropped()
 	s.expireDeadlines()
 	s.settlingTick()
 	s.hedge()
