Let agents verify a take-out themselves while no entry confirms the settings

Cause: agents know the settings from their entries only, and use them for 24 h without a confirmation, so that an outage of the store does not end the service. The age of the confirmation was not kept either: entries passed on only reads that brought a change, and confirmed the settings to each other, although operators change them in the store.

Without an answer from the store it goes on as before.

--- a/internal/daemon/launcher/agent.go
+++ b/internal/daemon/launcher/agent.go
@@ -36,6 +36,9 @@
 	// Table, if set, is used to find entries while the agent has no link, and to store
 	// the last announcement of a leased endpoint.
 	Table storer.Table
+	// TakenOut, if set, reads from the store whether the agent's failure domain was taken
+	// out. It is used while no entry confirms the settings.
+	TakenOut func(context.Context) (bool, error)
 	// Timing, if set, overrides the timing of the agent's decisions.
 	Timing func(*gatekeeper.State)
 	// EntryLinks is the number of entries to which the agent keeps links; 0 means all. A
@@ -95,6 +98,10 @@
 		control.endpoint.archive = newEndpointArchive(a.Table, a.Config.Name, control, a.Logger)
 		parts = append(parts, part{serviceArchive, control.endpoint.archive})
 	}
+	if a.TakenOut != nil {
+		control.verifier = newDomainVerifier(a.TakenOut, control, a.Logger)
+		parts = append(parts, part{serviceVerifier, control.verifier})
+	}
 	if a.Table != nil {
 		parts = append(parts, part{serviceDirectory, &directoryReader{table: a.Table, control: control, logger: a.Logger}})
 	}
--- a/internal/daemon/launcher/agent_control.go
+++ b/internal/daemon/launcher/agent_control.go
@@ -34,7 +34,9 @@
 	state *gatekeeper.State
 	loop  *loop[agentEvent, agentEffect]
 	// endpoint is set if the tasks run under a lease.
-	endpoint    *endpointControl
+	endpoint *endpointControl
+	// verifier is set if the agent can read the state of its failure domain.
+	verifier    *domainVerifier
 	transport   Transport
 	invocations *invocations
 }
@@ -158,6 +160,10 @@
 	case gatekeeper.Release:
 		c.targets.release(e.Entry)
 		c.chooseEntries(c.clock.now())
+	case gatekeeper.VerifyDomain:
+		if c.verifier != nil {
+			c.verifier.request()
+		}
 	case gatekeeper.Decision:
 		c.logDecision(e)
 	case gatekeeper.Drained:
--- a/internal/daemon/launcher/launcher.go
+++ b/internal/daemon/launcher/launcher.go
@@ -38,6 +38,7 @@
 	serviceInvoker   = "invoker"
 	serviceEndpoint  = "endpoint"
 	serviceDirectory = "directory"
+	serviceVerifier  = "verifier"
 	serviceFront     = "front"
 	serviceArchive   = "archive"
 )
--- a/internal/dispatch/coordinator/config.go
+++ b/internal/dispatch/coordinator/config.go
@@ -39,6 +39,9 @@
 	// entry that joined during the outage may act without the entries that it has never
 	// exchanged messages with.
 	MaxStoreOutage time.Duration
+	// StoreConfirms is true if only reads of the store confirm the settings, because
+	// operators change them there without an entry.
+	StoreConfirms bool
 	// CollectTimeout bounds the wait for the agents' records in one round of a takeover.
 	CollectTimeout time.Duration
 	// OutcomeWriteTimeout is how long the write of an outcome row may take before
--- a/internal/dispatch/coordinator/settings.go
+++ b/internal/dispatch/coordinator/settings.go
@@ -74,7 +74,7 @@
 // confirmation ends MaxStoreOutage after the last renewal, because this entry does not
 // know entries that join in the meantime.
 func (s *State) peerConfirmation() (time.Time, bool) {
-	if s.version == 0 || !s.withinMaxStoreOutage() {
+	if s.Config.StoreConfirms || s.version == 0 || !s.withinMaxStoreOutage() {
 		return time.Time{}, false
 	}
 	confirmed := s.now
--- a/internal/dispatch/gatekeeper/events.go
+++ b/internal/dispatch/gatekeeper/events.go
@@ -46,6 +46,12 @@
 // EndpointDeparting reports that the endpoint is leaving and accepts no new tasks.
 type EndpointDeparting struct{}
 
+// DomainVerified reports whether the store says that the agent's failure domain was taken
+// out.
+type DomainVerified struct {
+	Out bool `json:"out,omitempty"`
+}
+
 // Invoked reports the endpoint's answer to an Invoke, or that the answer was lost.
 type Invoked struct {
 	Task    messenger.TaskKey     `json:"task"`
@@ -65,6 +71,7 @@
 func (Received) event()          {}
 func (EndpointAnnounced) event() {}
 func (EndpointDeparting) event() {}
+func (DomainVerified) event()    {}
 func (Invoked) event()           {}
 func (DrainRequested) event()    {}
 
@@ -108,6 +115,10 @@
 	Entry messenger.Incarnation `json:"entry"`
 }
 
+// VerifyDomain requests a read from the store whether the agent's failure domain was taken
+// out. DomainVerified follows if the store answers.
+type VerifyDomain struct{}
+
 // Decision is logged for each start and each refusal.
 type Decision struct {
 	Task    messenger.TaskKey       `json:"task"`
@@ -130,5 +141,6 @@
 func (Abort) effect()            {}
 func (DirectoryChanged) effect() {}
 func (Release) effect()          {}
+func (VerifyDomain) effect()     {}
 func (Decision) effect()         {}
 func (Drained) effect()          {}
--- a/internal/dispatch/gatekeeper/reports.go
+++ b/internal/dispatch/gatekeeper/reports.go
@@ -133,7 +133,7 @@
 		return messenger.RefusedDraining, true
 	case s.endpointLapsed():
 		return messenger.RefusedNoEndpoint, true
-	case s.settings.Version > 0 && s.settings.State != messenger.DomainIn:
+	case s.settings.Version > 0 && s.settings.State != messenger.DomainIn, s.isVerifiedOut():
 		return messenger.RefusedDomainOut, true
 	case s.settings.Version == 0 || s.now.Sub(s.confirmedAt) > s.settings.SettingsLease:
 		return messenger.RefusedUnconfirmed, true
--- a/internal/dispatch/gatekeeper/script_test.go
+++ b/internal/dispatch/gatekeeper/script_test.go
@@ -86,6 +86,8 @@
 		h.receive(step.Text("from", step.Text("owner", "e1")), h.start(step))
 	case "cancel":
 		h.receive(from, messenger.Cancel{Task: task(step.Word(0)), Attempt: step.Int(h.t, "attempt", 0)})
+	case "verified":
+		h.handle(DomainVerified{Out: step.Has("out")})
 	case "invoked":
 		h.handle(h.invoked(step))
 	case "fence":
@@ -105,6 +107,7 @@
 func (h *harness) serve(step scripter.Step) {
 	h.slots = step.Int(h.t, "slots", 1)
 	h.milli = step.Int(h.t, "milli", 0)
+	h.state.VerifyAfter = step.Duration(h.t, "verify_after", 0)
 	h.handle(h.announcement())
 	h.handle(EntryLinked{Entry: "e1"})
 	h.handle(EntryLinked{Entry: "e2"})
@@ -145,7 +148,7 @@
 			State:           messenger.DomainState(state),
 			QueueLimit:      step.Int(h.t, "queue", 2),
 			QueueShare:      step.Float(h.t, "queue_share", 0),
-			SettingsLease:   2500 * time.Millisecond,
+			SettingsLease:   step.Duration(h.t, "settings_lease", 2500*time.Millisecond),
 			StartFreshness:  3 * time.Second,
 			RecordRetention: step.Duration(h.t, "horizon", 10*time.Minute),
 			OwnerLease:      step.Duration(h.t, "owner_lease", 0),
@@ -218,6 +221,8 @@
 		return fmt.Sprintf("abort %s/%d run=%d", e.Task.Submission.ID, e.Task.Index, e.Run)
 	case Release:
 		return "release " + string(e.Entry)
+	case VerifyDomain:
+		return "verify"
 	case Drained:
 		return "drained"
 	case DirectoryChanged, Decision:
--- a/internal/dispatch/gatekeeper/state.go
+++ b/internal/dispatch/gatekeeper/state.go
@@ -46,6 +46,9 @@
 	// OwnerExpiry is the time after the last contact with an owner by which all its
 	// tasks must have ended, even if this agent stalls or crashes; 0 sets no bound.
 	OwnerExpiry time.Duration
+	// VerifyAfter is the age of the confirmation of the settings after which the agent
+	// verifies itself that its failure domain is in; 0 means never.
+	VerifyAfter time.Duration
 
 	now       time.Time
 	effects   []Effect
@@ -54,6 +57,10 @@
 	settings    messenger.AgentSettings
 	confirmedAt time.Time
 	directory   []messenger.EntryAddress
+	// domainOut is the result of the last verification of the failure domain, which was
+	// requested at verifySentAt.
+	domainOut    bool
+	verifySentAt time.Time
 
 	endpoint    EndpointAnnounced
 	announcedAt time.Time
@@ -188,6 +195,8 @@
 			s.refuseQueue(messenger.RefusedDraining)
 			s.reportAll()
 		}
+	case DomainVerified:
+		s.domainVerified(e)
 	case Invoked:
 		s.invoked(e)
 	case DrainRequested:
@@ -234,6 +243,7 @@
 	if reason, blocked := s.blocked(); blocked {
 		s.refuseQueue(reason)
 	}
+	s.verifyDomain()
 	s.checkOwners()
 	s.startQueued()
 	s.releaseEntries()
@@ -259,7 +269,7 @@
 		Queued:   len(s.queue),
 		Slowness: s.pace.slowness,
 		Runs:     s.pace.runs,
-		Draining: !s.lifeCycle.Is(stateServing),
+		Draining: !s.lifeCycle.Is(stateServing) || s.isVerifiedOut(),
 		Capacity: s.endpoint.Capacity,
 		Taken:    s.taken.Add(s.waiting),
 	}
