Offer a restarted endpoint only by the announcement of its own boot

Cause: once a restarted endpoint answered, the agent forwarded the last announcement to the gatekeeper again, without comparing its boot with the one that answered.

Change: an announcement is forwarded only for the boot that answers.

Evidence: TestNextBootIsNotOfferedAsThePrevious fails without the change.

--- a/internal/daemon/launcher/endpoint_control.go
+++ b/internal/daemon/launcher/endpoint_control.go
@@ -174,8 +174,9 @@
 }
 
 // forwardAnnouncement forwards the last announcement to the gatekeeper. An announcement
-// that is not a departure is forwarded only while the endpoint is ready, and only within
-// announcementLifetime.
+// that is not a departure is forwarded only while the endpoint is ready, only within
+// announcementLifetime, and only if it is one of the boot that answers: the next boot may
+// have another capacity.
 func (c *agentControl) forwardAnnouncement(now time.Time) []agentEffect {
 	e := c.endpoint
 	switch {
@@ -183,6 +184,8 @@
 		return gatekeeperEffects(c.state.Handle(now, gatekeeper.EndpointDeparting{}))
 	case !e.state.IsReady() || time.Since(e.announcedAt) > announcementLifetime:
 		return nil
+	case e.announcement.Boot.Born != e.state.Boot.Born:
+		return nil
 	}
 	return gatekeeperEffects(c.state.Handle(now, gatekeeper.EndpointAnnounced{
 		Service: e.announcement.Service, Slots: e.announcement.Slots, Labels: e.announcement.Labels, Capacity: e.announcement.Capacity,
--- a/internal/daemon/launcher/unconfirmed_announcement_test.go
+++ b/internal/daemon/launcher/unconfirmed_announcement_test.go
@@ -102,3 +102,26 @@
 	}
 	return call
 }
+
+// Guards against tasks for a restarted endpoint by the capacity that its previous boot
+// announced.
+func TestNextBootIsNotOfferedAsThePrevious(t *testing.T) {
+	own := supervisor.Announcement{Boot: supervisor.Boot{ID: "i-1", Address: "endpoint", Born: 100}, Service: "dispatch", Slots: 8}
+	c, sent := announcedAgent(t, own)
+	// The endpoint restarts and answers the waiting hold before it announces itself again.
+	deliver(c, agentEvent{endpoint: supervisor.HoldAnswered{Call: 2, Lists: supervisor.Lists{Born: 900, Clock: time.Hour}}})
+	if !c.endpoint.state.IsReady() || c.endpoint.state.Boot.Born != 900 {
+		t.Fatalf("the agent follows %+v, ready %v", c.endpoint.state.Boot, c.endpoint.state.IsReady())
+	}
+	deliver(c, agentEvent{gatekeeper: gatekeeper.Tick{}})
+	if got := sent.service(); got != "" {
+		t.Errorf("the agent reports service %q before the next boot has announced itself", got)
+	}
+	next := own
+	next.Boot.Born, next.Slots = 900, 2
+	handled := make(chan error, 1)
+	deliver(c, agentEvent{announced: &next, handled: handled})
+	if err := <-handled; err != nil || sent.service() != "dispatch" || sent.last.Load.Slots != 2 {
+		t.Errorf("answered with %v, reported %+v", err, sent.last.Load)
+	}
+}
