Apply a cancel to the attempt of its own owner only

Cause: the agent looked up the record by the task alone.

Change: a cancel beside a record of another owner tombstones the cancelled attempt, also for a late start, and leaves the record as it is. A superseded run whose end is awaited is answered as running. volatile_cancel.txtar expected running for an attempt of e2 that was never sent; it now expects a tombstone, and still no abort.

Evidence: volatile_cancel_other_owner.txtar fails without the change.

--- a/internal/dispatch/gatekeeper/results.go
+++ b/internal/dispatch/gatekeeper/results.go
@@ -1,6 +1,8 @@
 package gatekeeper
 
 import (
+	"slices"
+
 	"github.com/burdockrudder/burdockrudder/internal/dispatch/messenger"
 )
 
@@ -68,6 +70,10 @@
 // of the same owner.
 func (s *State) cancel(from messenger.Incarnation, m messenger.Cancel) {
 	r := s.records[m.Task]
+	if r != nil && r.volatile && r.owner != from {
+		s.cancelBesideOther(from, m, r)
+		return
+	}
 	switch {
 	case r == nil || (r.state == messenger.RecordTombstoned && m.Attempt > r.attempt):
 		r = &record{task: m.Task, attempt: m.Attempt, owner: from, state: messenger.RecordTombstoned}
@@ -88,6 +94,22 @@
 	}
 }
 
+// cancelBesideOther handles a cancel of an attempt while the record of the task is the one
+// of another owner, which stays as it is. The cancelled attempt either is the run that other
+// has superseded, whose end is still awaited, or it has not arrived and is tombstoned.
+func (s *State) cancelBesideOther(from messenger.Incarnation, m messenger.Cancel, other *record) {
+	state := messenger.RecordTombstoned
+	for _, r := range s.live {
+		if r.task == m.Task && r.owner == from && r.attempt == m.Attempt {
+			state = messenger.RecordRunning
+		}
+	}
+	if cancelled := (attemptKey{from, m.Attempt}); state == messenger.RecordTombstoned && !slices.Contains(other.refused, cancelled) {
+		other.refused = append(other.refused, cancelled)
+	}
+	s.send(from, messenger.Cancelled{Task: m.Task, Attempt: m.Attempt, State: state})
+}
+
 func (s *State) expire() {
 	for len(s.expiring) > 0 && !s.expiring[0].at.After(s.now) {
 		old := s.expiring[0]
--- a/internal/dispatch/gatekeeper/state.go
+++ b/internal/dispatch/gatekeeper/state.go
@@ -108,8 +108,8 @@
 	runTime    time.Duration
 	expected   time.Duration
 	keepUntil  time.Time
-	// refused holds the attempts that were refused, with a guarantee that they never start,
-	// while another attempt of a repeatable task was queued or running.
+	// refused holds the attempts that were refused or cancelled, with a guarantee that they
+	// never start, while another attempt of the task had this record.
 	refused []attemptKey
 	// stoppedByFence is true if the current attempt was tombstoned because its owner
 	// was fenced.
--- a/internal/dispatch/gatekeeper/volatile.go
+++ b/internal/dispatch/gatekeeper/volatile.go
@@ -22,6 +22,10 @@
 		}
 		return
 	}
+	if known != nil && slices.Contains(known.refused, attemptKey{m.Owner, m.Attempt}) {
+		s.refuse(from, m, messenger.RefusedTombstone, true)
+		return
+	}
 	if reason, refused := s.refusal(m); refused {
 		s.refuseVolatile(from, m, reason)
 		return
