Number the attempts of a job that is submitted again above those of its first life

Cause: each life of a volatile job numbered its attempts from 0, while agents keep their records for 10 s and take lower numbers of the same owner for late copies.

The scripts of jobs that are submitted again expect the higher numbers.

Evidence: volatile_submitted_again.txtar fails without the change.

--- a/internal/dispatch/coordinator/dispatch.go
+++ b/internal/dispatch/coordinator/dispatch.go
@@ -138,7 +138,7 @@
 
 func (s *State) place(t *task, choice placer.Choice) {
 	kind := DecisionPlace
-	if t.attempt > 0 {
+	if t.attempt > t.job.firstAttempt {
 		kind = DecisionPlaceAgain
 		s.counters.StartsAgain++
 	}
--- a/internal/dispatch/coordinator/job.go
+++ b/internal/dispatch/coordinator/job.go
@@ -53,6 +53,8 @@
 	successors []successor
 	// objective is the latency objective of a volatile job's queue.
 	objective objective
+	// firstAttempt is the number of the first attempt of each task.
+	firstAttempt int
 	// openByStep is the number of tasks of each step that have not succeeded.
 	openByStep []int
 	// unrecordedReason is the reason why no outcome row can be written for the job.
@@ -135,8 +137,11 @@
 		admittedAt: s.now,
 		deadlineAt: s.now.Add(submission.Deadline),
 	}
+	if submission.Volatile {
+		j.firstAttempt = s.usedAttempts[submission.Key].next
+	}
 	for i := range j.tasks {
-		j.tasks[i] = task{job: j, index: i}
+		j.tasks[i] = task{job: j, index: i, attempt: j.firstAttempt}
 	}
 	s.jobs[submission.Key] = j
 	return j
--- a/internal/dispatch/coordinator/settle.go
+++ b/internal/dispatch/coordinator/settle.go
@@ -143,6 +143,9 @@
 	for i := range j.tasks {
 		s.releaseCopies(&j.tasks[i])
 	}
+	if j.submission.Volatile {
+		s.rememberAttempts(j)
+	}
 	s.removeJob(j)
 }
 
--- a/internal/dispatch/coordinator/state.go
+++ b/internal/dispatch/coordinator/state.go
@@ -78,6 +78,8 @@
 	// pending counts, for each queue, the jobs of which no task has been sent.
 	pending map[string]int
 	lookups map[messenger.SubmissionKey][]lookup
+	// usedAttempts holds the attempt numbers of the volatile jobs that have ended lately.
+	usedAttempts map[messenger.SubmissionKey]usedAttempts
 
 	index   *placer.Index
 	classes map[classKey]*class
@@ -174,6 +176,7 @@
 	s.jobs = make(map[messenger.SubmissionKey]*job)
 	s.pending = make(map[string]int)
 	s.lookups = make(map[messenger.SubmissionKey][]lookup)
+	s.usedAttempts = make(map[messenger.SubmissionKey]usedAttempts)
 	s.index = placer.New()
 	s.index.Policy.Spread = s.Config.PlacementSpread
 	s.classes = make(map[classKey]*class)
--- a/internal/dispatch/coordinator/tick.go
+++ b/internal/dispatch/coordinator/tick.go
@@ -23,6 +23,7 @@
 		return
 	}
 	s.statusAt = s.now
+	s.forgetAttempts()
 	s.statusToAgents()
 	s.statusToPeers()
 }
