--- a/internal/edge/supervisor/model_test.go
+++ b/internal/edge/supervisor/model_test.go
@@ -30,8 +30,8 @@
 	// started are the runs that any boot has started, notRun those that were reported as
 	// never started.
 	started, notRun map[Run]bool
-	open     map[Run]bool
-	invoked  int
+	open            map[Run]bool
+	invoked         int
 	// succeeded counts the runs that were reported as succeeded.
 	succeeded int
 	// confirmed counts the confirmed announcements.
