Find the owner of a volatile job that is cancelled at another entry

Cause: an entry looked for the owner of an unknown job in the store, which does not know volatile jobs. Besides, a submission that waited for the end of its given-up first life was started after the cancel.

Change: the cancel of a volatile job that is not here is sent to all linked entries. If one of the others cannot be asked or does not answer, and none had the job, the caller is told outcome_unknown. Waiting successors of a cancelled job are refused.

Not covered: entries beyond the linked ones of a large fleet; the caller is told so.

--- a/internal/dispatch/coordinator/cancel.go
+++ b/internal/dispatch/coordinator/cancel.go
@@ -17,23 +17,40 @@
 
 // cancelCall collects the answers of other entries to one cancel.
 type cancelCall struct {
-	waiter    waiter
+	waiter waiter
+	// key is set for a cancel of one volatile submission.
+	key       messenger.SubmissionKey
 	pending   int
 	cancelled int
 	answered  bool
 	startedAt time.Time
+	// incomplete is true if an entry that may have the submission could not be asked.
+	incomplete bool
 }
 
-func (s *State) cancelRequested(w waiter, key messenger.SubmissionKey, prefix bool) {
-	if prefix {
-		s.cancelPrefix(w, key)
-		return
-	}
-	if j := s.jobs[key]; j != nil {
+func (s *State) cancelRequested(w waiter, e CancelRequested) {
+	j := s.jobs[e.Key]
+	switch {
+	case e.Prefix:
+		s.cancelPrefix(w, e.Key)
+	case j != nil:
 		s.reply(w, CancelAnswer{Cancelled: s.cancelJob(j)})
-		return
+	case e.Volatile:
+		s.cancelElsewhere(w, e.Key)
+	default:
+		s.readRows(e.Key, lookup{waiter: w, submission: messenger.Submission{Key: e.Key}, query: true, cancel: true})
+	}
+}
+
+// cancelElsewhere cancels a volatile submission that is not at this entry. No row names its
+// owner, so all linked entries are asked.
+func (s *State) cancelElsewhere(w waiter, key messenger.SubmissionKey) {
+	call := &cancelCall{waiter: w, key: key, startedAt: s.now}
+	if w.peer == "" {
+		call.incomplete = slices.ContainsFunc(s.otherEntries(), func(e messenger.Incarnation) bool { return !s.reachable(e) })
+		s.broadcastCancel(call, messenger.Forward{Submission: messenger.Submission{Key: key, Volatile: true}})
 	}
-	s.readRows(key, lookup{waiter: w, submission: messenger.Submission{Key: key}, query: true, cancel: true})
+	s.answerCancel(call)
 }
 
 func (s *State) cancelPrefix(w waiter, key messenger.SubmissionKey) {
@@ -42,7 +59,7 @@
 		call.cancelled += s.cancelJob(j)
 	}
 	if w.peer == "" {
-		s.broadcastCancel(call, key)
+		s.broadcastCancel(call, messenger.Forward{Submission: messenger.Submission{Key: key}, Prefix: true})
 	}
 	s.answerCancel(call)
 }
@@ -65,18 +82,16 @@
 	return matching
 }
 
-func (s *State) broadcastCancel(call *cancelCall, key messenger.SubmissionKey) {
+// broadcastCancel asks all reachable entries to cancel the submissions that m names.
+func (s *State) broadcastCancel(call *cancelCall, m messenger.Forward) {
+	m.Cancel = true
 	for _, p := range s.sortedPeers() {
 		if !s.reachable(p.incarnation) {
 			continue
 		}
 		call.pending++
-		s.send(p.incarnation, messenger.Forward{
-			Call:       s.newCall(forwardCall{key: key, cancel: call}),
-			Submission: messenger.Submission{Key: key},
-			Cancel:     true,
-			Prefix:     true,
-		})
+		m.Call = s.newCall(forwardCall{key: m.Submission.Key, cancel: call})
+		s.send(p.incarnation, m)
 	}
 }
 
@@ -120,6 +135,10 @@
 		return
 	}
 	call.answered = true
+	if call.incomplete && call.cancelled == 0 {
+		s.replyRefusal(call.waiter, call.key, messenger.CodeOutcomeUnknown, "not every entry could be asked")
+		return
+	}
 	s.reply(call.waiter, CancelAnswer{Cancelled: call.cancelled})
 }
 
@@ -153,6 +172,7 @@
 		j.stopReason = reasonCancelled
 		return 1
 	case j.lifeCycle.Is(jobRunning):
+		s.refuseSuccessors(j)
 		s.stop(j, reasonCancelled)
 		s.cancelAttempts(j)
 		return 1
@@ -160,6 +180,14 @@
 	return 0
 }
 
+// refuseSuccessors refuses the submissions that wait for the end of a job that is cancelled.
+func (s *State) refuseSuccessors(j *job) {
+	for _, next := range j.successors {
+		s.refuseVolatile(next.waiter, j.submission.Key, messenger.CodeNotRun, reasonCancelled)
+	}
+	j.successors = nil
+}
+
 // cancelAttempts sends a cancel for every attempt of the job that agents hold.
 func (s *State) cancelAttempts(j *job) {
 	for i := range j.tasks {
--- a/internal/dispatch/coordinator/events.go
+++ b/internal/dispatch/coordinator/events.go
@@ -40,6 +40,9 @@
 	Call   CallID                  `json:"call"`
 	Key    messenger.SubmissionKey `json:"key"`
 	Prefix bool                    `json:"prefix,omitempty"`
+	// Volatile is true if the submission can only be a volatile one, which the store does
+	// not know.
+	Volatile bool `json:"volatile,omitempty"`
 }
 
 // TicketsRequested requests a block of submission ids. The reply is a TicketsAnswer.
--- a/internal/dispatch/coordinator/peers.go
+++ b/internal/dispatch/coordinator/peers.go
@@ -147,7 +147,7 @@
 	w := waiter{peer: from, peerCall: m.Call, wait: true}
 	switch {
 	case m.Cancel:
-		s.cancelRequested(w, m.Submission.Key, m.Prefix)
+		s.cancelRequested(w, CancelRequested{Key: m.Submission.Key, Prefix: m.Prefix, Volatile: m.Submission.Volatile})
 	case len(m.Submission.Tasks) > 0:
 		s.submit(w, m.Submission)
 	default:
--- a/internal/dispatch/coordinator/script_verbs_test.go
+++ b/internal/dispatch/coordinator/script_verbs_test.go
@@ -73,7 +73,9 @@
 	case "query":
 		r.handle(Queried{Call: call, Key: keyNamed(step.Word(1)), Wait: step.Has("wait")})
 	case "cancel":
-		r.handle(CancelRequested{Call: call, Key: keyNamed(step.Word(1)), Prefix: step.Has("prefix")})
+		r.handle(CancelRequested{
+			Call: call, Key: keyNamed(step.Word(1)), Prefix: step.Has("prefix"), Volatile: step.Has("volatile"),
+		})
 	case "tickets":
 		r.handle(TicketsRequested{Call: call, Firm: "lamis", Service: "dispatch", Count: step.Int(r.t, "count", 1)})
 	case "gone":
--- a/internal/dispatch/coordinator/state.go
+++ b/internal/dispatch/coordinator/state.go
@@ -134,7 +134,7 @@
 		s.query(waiter{call: e.Call, wait: e.Wait}, e.Key)
 	case CancelRequested:
 		s.callKeys[e.Call] = e.Key
-		s.cancelRequested(waiter{call: e.Call}, e.Key, e.Prefix)
+		s.cancelRequested(waiter{call: e.Call}, e)
 	case TicketsRequested:
 		s.issueTickets(e)
 	case CallerGone:
