--- a/internal/dispatch/coordinator/script_test.go
+++ b/internal/dispatch/coordinator/script_test.go
@@ -149,6 +149,7 @@
 // entry run for two seconds.
 func (r *scriptRunner) ready(step scripter.Step) {
 	r.tree = scriptTree(r.t, step)
+	r.state.Config.StoreConfirms = step.Has("store_confirms")
 	for _, name := range strings.FieldsFunc(step.Text("peers", ""), isComma) {
 		r.peers[name] = &fakePeer{version: 1}
 	}
