--- a/internal/command/starter/starter.go
+++ b/internal/command/starter/starter.go
@@ -32,7 +32,7 @@
 // Commands returns the commands of this package, which are added to the operators'
 // commands.
 func Commands() []*cobra.Command {
-	return []*cobra.Command{entryCommand(), agentCommand(), replayCommand(), certificatesCommand(), demoCommand(), responseCommand()}
+	return []*cobra.Command{entryCommand(), agentCommand(), replayCommand(), certificatesCommand(), demoCommand(), responseCommand(), reportCommand()}
 }
 
 func entryCommand() *cobra.Command {
