--- a/review/_stage/stage.go
+++ b/review/_stage/stage.go
@@ -31,6 +31,8 @@
 	started time.Time
 	done    chan struct{}
 	store   *store
+	// summed is true if the record holds the number of runs instead of each one.
+	summed bool
 
 	mu        sync.Mutex
 	processes []*process
@@ -140,14 +142,18 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.events = append(s.events, runEvent{at: now, executor: e.id, run: run})
-	s.note("%s starts %s run %d", e.id, run.Task, run.Number)
+	if !s.summed {
+		s.note("%s starts %s run %d", e.id, run.Task, run.Number)
+	}
 }
 
 func (s *stage) runEnded(now time.Time, e *executor, run emulator.Run, kind emulator.EndKind) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.events = append(s.events, runEvent{at: now, executor: e.id, run: run, end: kind})
-	s.note("%s ends %s run %d: %s", e.id, run.Task, run.Number, kind)
+	if !s.summed {
+		s.note("%s ends %s run %d: %s", e.id, run.Task, run.Number, kind)
+	}
 }
 
 // history returns the events of a job in order.
