--- /dev/null
+++ b/review/_rig3/cases.go
@@ -0,0 +1,346 @@
+package main
+
+import (
+	"fmt"
+	"net/http"
+	"sync"
+	"syscall"
+	"time"
+)
+
+const (
+	firstService, secondService = "huvo11a", "huvo12b"
+	// longTask is longer than any bound of the cases.
+	longTask = 9 * time.Second
+	// patientMS is the Deadline-Ms of clients that wait for a long job.
+	patientMS = 20_000
+)
+
+func (s *site) operate() { s.change(1, firstService) }
+
+// post submits a job and records its answer.
+func (s *site) post(address, name, id, body string, deadlineMS int) result {
+	s.record.write("client: POST %s at %s: %s", id, name, body)
+	r := request(address, http.MethodPost, host, prefix+id, body, deadlineMS, time.Duration(deadlineMS)*time.Millisecond)
+	s.record.write("client: POST %s at %s sent at %s: answered %d %s %v", id, name, s.record.at(r.sentAt), r.status, r.body, errText(r.err))
+	return r
+}
+
+func errText(err error) string {
+	if err == nil {
+		return ""
+	}
+	return "(" + err.Error() + ")"
+}
+
+// cancelAndCheck cancels a job at an entry, and checks that nothing of it runs stop_ms after
+// cancel_ms after the answer.
+func (s *site) cancelAndCheck(entry int, id string) error {
+	r := request(s.fronts[entry], http.MethodDelete, host, prefix+id, "", 1500, 4*time.Second)
+	s.record.write("client: DELETE %s at entry %d sent at %s: answered %d after %v %s; at work: %v",
+		id, entry, s.record.at(r.sentAt), r.status, r.endedAt.Sub(r.sentAt), errText(r.err), s.workers(id))
+	if r.status != http.StatusOK && r.status != http.StatusGone {
+		return fmt.Errorf("%w: the DELETE wasn't acknowledged", errNotRun)
+	}
+	// 50 ms more than the rule allows, for the delays of this process.
+	time.Sleep(time.Until(r.endedAt.Add(cancelMS + stopMS + 50*time.Millisecond)))
+	if left := s.workers(id); len(left) > 0 {
+		s.record.broken("UNASKED: the DELETE of %s was answered %d, and %v later these run on: %v", id, r.status, time.Since(r.endedAt), left)
+	}
+	return nil
+}
+
+// each runs a part of a case for several numbers at the same time.
+func each(n int, part func(i int) error) error {
+	errs := make([]error, n)
+	var group sync.WaitGroup
+	for i := range n {
+		group.Add(1)
+		go func() {
+			defer group.Done()
+			errs[i] = part(i)
+		}()
+	}
+	group.Wait()
+	for _, err := range errs {
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// cancelMoved cancels jobs that were accepted before the desired state sent their queue to
+// another service.
+func cancelMoved(s *site, trouble bool) error {
+	s.operate()
+	err := s.start(func(i int, e *executor) {
+		if i >= 6 {
+			e.service = secondService
+		}
+	})
+	if err != nil {
+		return err
+	}
+	ids := make([]string, entryCount)
+	for i := range ids {
+		ids[i] = newID()
+		go s.post(s.fronts[i], fmt.Sprint("entry ", i), ids[i], job(2, 1600, int(longTask.Milliseconds())), patientMS)
+	}
+	time.Sleep(time.Second)
+	for _, id := range ids {
+		if len(s.workers(id)) != 2 {
+			return fmt.Errorf("%w: %s hasn't started", errNotRun, id)
+		}
+	}
+	if trouble {
+		s.change(4, secondService)
+	}
+	time.Sleep(2500 * time.Millisecond)
+	return each(len(ids), func(i int) error { return s.cancelAndCheck(i, ids[i]) })
+}
+
+// cancelSettled cancels jobs that were sent again, to another entry, after their answer was
+// lost.
+func cancelSettled(s *site, trouble bool) error {
+	s.operate()
+	if err := s.start(func(int, *executor) {}); err != nil {
+		return err
+	}
+	return each(2, func(i int) error {
+		first, second := 2*i, 2*i+1
+		p, err := newPath(s.net+"1", s.fronts[first])
+		if err != nil {
+			return err
+		}
+		s.paths = append(s.paths, p)
+		p.reset.Store(trouble)
+		p.onReset = func() { s.record.write("path to entry %d: the answer is dropped and the connection reset", first) }
+		id, body := newID(), job(1, 1600, int(longTask.Milliseconds()))
+		r := s.post(p.listener.Addr().String(), fmt.Sprint("entry ", first), id, body, patientMS)
+		if trouble != (r.status == 0) {
+			return fmt.Errorf("%w: the first POST was answered %d", errNotRun, r.status)
+		}
+		if trouble {
+			time.Sleep(resendMS)
+			go s.post(s.fronts[second], fmt.Sprint("entry ", second), id, body, patientMS)
+		}
+		// contact_ms after the reset the entry is in touch again.
+		time.Sleep(time.Until(r.endedAt.Add(contactMS + time.Second)))
+		if trouble && len(s.workers(id)) == 0 {
+			return fmt.Errorf("%w: the job didn't run again", errNotRun)
+		}
+		return s.cancelAndCheck(first, id)
+	})
+}
+
+// load posts jobs of a fixed shape at all entries, in turn, until stop is closed.
+func (s *site) load(stop <-chan struct{}, pause time.Duration, body string) {
+	for i := 0; ; i++ {
+		select {
+		case <-stop:
+			return
+		case <-time.After(pause):
+			go s.post(s.fronts[i%entryCount], fmt.Sprint("entry ", i%entryCount), newID(), body, 3000)
+		}
+	}
+}
+
+// foreignPing sends two executors' agents one ping of another writer each.
+func foreignPing(s *site, trouble bool) error {
+	s.operate()
+	err := s.start(func(_ int, e *executor) {
+		e.onStart = func(e *executor, task string, cpuAtWork int) {
+			if cpuAtWork > e.cpu {
+				s.record.broken("LIMIT: the start of %s brings %s to cpu %d of %d", task, e.id, cpuAtWork, e.cpu)
+			}
+		}
+	})
+	if err != nil {
+		return err
+	}
+	stop := make(chan struct{})
+	go s.load(stop, 100*time.Millisecond, job(8, 1600, 900))
+	time.Sleep(4 * time.Second)
+	if trouble {
+		s.executors[0].foreignPing(1000)
+		s.executors[6].foreignPing(1000)
+	}
+	time.Sleep(6 * time.Second)
+	close(stop)
+	time.Sleep(2 * time.Second)
+	return nil
+}
+
+// drainIgnored lets an executor drain after its agent has got pings of another writer.
+func drainIgnored(s *site, trouble bool) error {
+	s.operate()
+	err := s.start(func(_ int, e *executor) {
+		e.onStart = func(e *executor, task string, _ int) {
+			acked := e.drainAckedAt.Load()
+			if late := time.Since(time.Unix(0, acked)); acked != 0 && late > drainMS {
+				s.record.broken("DRAIN: %s starts on %s %v after its ping that says draining was acknowledged", task, e.id, late)
+			}
+		}
+	})
+	if err != nil {
+		return err
+	}
+	stop := make(chan struct{})
+	go s.load(stop, 100*time.Millisecond, job(8, 1600, 900))
+	time.Sleep(4 * time.Second)
+	e := s.executors[0]
+	for i := range 3 {
+		if trouble {
+			e.foreignPing(int64(100_000 + i))
+		}
+		if i < 2 {
+			time.Sleep(heartbeatMS)
+		}
+	}
+	time.Sleep(500 * time.Millisecond)
+	e.state.Store("draining")
+	if status := e.ping(); status != http.StatusOK {
+		return fmt.Errorf("%w: the draining ping was answered %d", errNotRun, status)
+	}
+	time.Sleep(8 * time.Second)
+	close(stop)
+	time.Sleep(2 * time.Second)
+	return nil
+}
+
+// openConnections is how many connections clients have open to each entry.
+const openConnections = 120
+
+// drainCancel stops the entries one after the other, while clients cancel jobs.
+func drainCancel(s *site, trouble bool) error {
+	s.operate()
+	err := s.start(func(_ int, e *executor) { e.taskCPU = 200 })
+	if err != nil {
+		return err
+	}
+	var mu sync.Mutex
+	// running holds the jobs that were sent to each entry and that nobody has cancelled.
+	running := make([][]string, entryCount)
+	stopped := make([]time.Time, entryCount)
+	stop := make(chan struct{})
+	var group sync.WaitGroup
+	everyEntry := func(pause time.Duration, act func(i int)) {
+		for i := range entryCount {
+			group.Add(1)
+			go func() {
+				defer group.Done()
+				for {
+					select {
+					case <-stop:
+						return
+					case <-time.After(pause):
+						act(i)
+					}
+				}
+			}()
+		}
+	}
+	// A client keeps its connections open; an entry that stops still answers on them.
+	pools := make([]chan *connection, entryCount)
+	for i := range pools {
+		pools[i] = make(chan *connection, openConnections)
+		for range openConnections {
+			conn, err := dial(s.fronts[i])
+			if err != nil {
+				return fmt.Errorf("%w: %w", errNotRun, err)
+			}
+			if r := conn.exchange(http.MethodGet, host, prefix, "", 1500, time.Second); r.status != http.StatusOK {
+				return fmt.Errorf("%w: GET was answered %d %w", errNotRun, r.status, r.err)
+			}
+			pools[i] <- conn
+		}
+	}
+	everyEntry(90*time.Millisecond, func(i int) {
+		if mu.Lock(); !stopped[i].IsZero() {
+			mu.Unlock()
+			return
+		}
+		id := newID()
+		running[i] = append(running[i], id)
+		mu.Unlock()
+		go s.post(s.fronts[i], fmt.Sprint("entry ", i), id, job(1, 200, int(longTask.Milliseconds())), patientMS)
+	})
+	time.Sleep(6 * time.Second)
+	everyEntry(100*time.Millisecond, func(i int) {
+		mu.Lock()
+		at, id := -1, ""
+		for k := 1; k < entryCount && at < 0; k++ {
+			if other := (i + k) % entryCount; len(running[other]) > 3 {
+				at, id = other, running[other][0]
+				running[other] = running[other][1:]
+			}
+		}
+		mu.Unlock()
+		if at < 0 {
+			return
+		}
+		select {
+		case conn := <-pools[i]:
+			go s.cancelOn(conn, pools[i], i, at, id, &mu, stopped)
+		default:
+		}
+	})
+	time.Sleep(time.Second)
+	for i, p := range s.entries {
+		if trouble {
+			go s.roll(i, p, &mu, stopped)
+		}
+		time.Sleep(time.Second)
+	}
+	time.Sleep(graceS + 2*time.Second)
+	close(stop)
+	group.Wait()
+	time.Sleep(2 * time.Second)
+	return nil
+}
+
+// roll stops an entry as the platform does, and starts it again after a short delay.
+func (s *site) roll(i int, p *process, mu *sync.Mutex, stopped []time.Time) {
+	mu.Lock()
+	stopped[i] = time.Now()
+	mu.Unlock()
+	s.record.write("platform: SIGTERM of entry %d", i)
+	p.signal(syscall.SIGTERM)
+	ended := p.end()
+	select {
+	case <-ended:
+		s.record.write("platform: entry %d has ended, %v after the SIGTERM", i, time.Since(stopped[i]))
+	case <-time.After(graceS):
+		s.record.write("platform: entry %d hasn't ended within grace_s: SIGKILL", i)
+		p.signal(syscall.SIGKILL)
+		<-ended
+	}
+	time.Sleep(time.Second)
+	if err := p.start(); err != nil {
+		s.record.write("platform: entry %d couldn't be started: %v", i, err)
+		return
+	}
+	s.record.write("platform: entry %d is started again", i)
+}
+
+// cancelOn cancels a job on an open connection and checks that it is answered.
+func (s *site) cancelOn(conn *connection, pool chan *connection, entry, at int, id string, mu *sync.Mutex, stopped []time.Time) {
+	r := conn.exchange(http.MethodDelete, host, prefix+id, "", 1500, 5*time.Second)
+	took := r.endedAt.Sub(r.sentAt)
+	s.record.write("client: DELETE %s (taken by entry %d) on an open connection of entry %d, sent at %s: answered %d after %v %s",
+		id, at, entry, s.record.at(r.sentAt), r.status, took, errText(r.err))
+	if r.status != 0 && !r.closes {
+		pool <- conn
+		return
+	}
+	defer conn.Close()
+	mu.Lock()
+	since := stopped[entry]
+	mu.Unlock()
+	planned := !since.IsZero() && r.endedAt.After(since) && r.endedAt.Before(since.Add(graceS+time.Second))
+	if r.status == 0 && planned && took > lossSlackMS && took < timeoutMS {
+		s.record.broken("LOST: entry %d got a SIGTERM at %s; the connection of DELETE %s, sent %v later, ended without an answer after %v",
+			entry, s.record.at(since), id, r.sentAt.Sub(since), took)
+	}
+}
