--- a/review/_rig3/cases.go
+++ b/review/_rig3/cases.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -100,40 +101,69 @@
 	return each(len(ids), func(i int) error { return s.cancelAndCheck(i, ids[i]) })
 }
 
-// cancelSettled cancels jobs that were sent again, to another entry, after their answer was
-// lost.
-func cancelSettled(s *site, trouble bool) error {
+const (
+	// lateBy is how late everything arrives on a connection that is delayed.
+	lateBy = 2 * time.Second
+	// deadlineMS is the Deadline-Ms of the site's clients.
+	deadlineMS = 1500
+	// delayedJobs is how many jobs each of the clients hands in, one after the other.
+	delayedJobs = 3
+)
+
+// delayedPost lets the connections of four clients, one for each entry, be delayed. The
+// clients send their jobs again, to another entry, after no response.
+func delayedPost(s *site, trouble bool) error {
 	s.operate()
-	if err := s.start(func(int, *executor) {}); err != nil {
+	err := s.start(func(_ int, e *executor) {
+		e.onStart = func(_ *executor, task string, _ int) { go s.checkTwice(task) }
+	})
+	if err != nil {
 		return err
 	}
-	return each(2, func(i int) error {
-		first, second := 2*i, 2*i+1
-		p, err := newPath(s.net+"1", s.fronts[first])
-		if err != nil {
-			return err
-		}
-		s.paths = append(s.paths, p)
-		p.reset.Store(trouble)
-		p.onReset = func() { s.record.write("path to entry %d: the answer is dropped and the connection reset", first) }
-		id, body := newID(), job(1, 1600, int(longTask.Milliseconds()))
-		r := s.post(p.listener.Addr().String(), fmt.Sprint("entry ", first), id, body, patientMS)
-		if trouble != (r.status == 0) {
-			return fmt.Errorf("%w: the first POST was answered %d", errNotRun, r.status)
-		}
+	return each(entryCount, func(i int) error {
+		first, second := s.fronts[i], (i+1)%entryCount
 		if trouble {
-			time.Sleep(resendMS)
-			go s.post(s.fronts[second], fmt.Sprint("entry ", second), id, body, patientMS)
+			d, err := newDelay(s.net+"1", first, lateBy)
+			if err != nil {
+				return err
+			}
+			s.paths = append(s.paths, d)
+			first = d.listener.Addr().String()
 		}
-		// contact_ms after the reset the entry is in touch again.
-		time.Sleep(time.Until(r.endedAt.Add(contactMS + time.Second)))
-		if trouble && len(s.workers(id)) == 0 {
-			return fmt.Errorf("%w: the job didn't run again", errNotRun)
+		for range delayedJobs {
+			id, body := newID(), job(2, 1600, 1200)
+			r := s.post(first, fmt.Sprint("entry ", i), id, body, deadlineMS)
+			if r.status == 0 || r.status == http.StatusBadGateway || r.status == http.StatusGatewayTimeout {
+				time.Sleep(time.Until(r.endedAt.Add(resendMS)))
+				s.post(s.fronts[second], fmt.Sprint("entry ", second), id, body, deadlineMS)
+			}
+			time.Sleep(time.Second)
 		}
-		return s.cancelAndCheck(first, id)
+		return nil
 	})
 }
 
+// checkTwice checks that a task runs on one executor at most.
+func (s *site) checkTwice(task string) {
+	s.snapshot.Lock()
+	defer s.snapshot.Unlock()
+	// The locks of all executors are held, so that what is seen is true at one moment.
+	var at []string
+	for _, e := range s.executors {
+		e.mu.Lock()
+		e.emulator.ExpireLease(time.Now())
+		if _, runs := e.runs[task]; runs {
+			at = append(at, e.id)
+		}
+	}
+	for _, e := range s.executors {
+		e.mu.Unlock()
+	}
+	if len(at) > 1 {
+		s.record.broken("TWICE: %s runs at the same time on %v", task, at)
+	}
+}
+
 // load posts jobs of a fixed shape at all entries, in turn, until stop is closed.
 func (s *site) load(stop <-chan struct{}, pause time.Duration, body string) {
 	for i := 0; ; i++ {
@@ -146,29 +176,144 @@
 	}
 }
 
-// foreignPing sends two executors' agents one ping of another writer each.
-func foreignPing(s *site, trouble bool) error {
-	s.operate()
-	err := s.start(func(_ int, e *executor) {
-		e.onStart = func(e *executor, task string, cpuAtWork int) {
-			if cpuAtWork > e.cpu {
-				s.record.broken("LIMIT: the start of %s brings %s to cpu %d of %d", task, e.id, cpuAtWork, e.cpu)
+const (
+	// recoverS is the time that the machines have to serve again.
+	recoverS = 12 * time.Second
+	// countTime is how long requests are counted before and after the disruption.
+	countTime = 6 * time.Second
+)
+
+// tally counts the requests that were sent and those that were served.
+type tally struct{ sent, served atomic.Int64 }
+
+// count posts small jobs at all entries, in turn, for countTime, and waits for the answers.
+func (s *site) count(name string) *tally {
+	var t tally
+	var group sync.WaitGroup
+	for i, end := 0, time.Now().Add(countTime); time.Now().Before(end); i++ {
+		group.Add(1)
+		go func() {
+			defer group.Done()
+			t.sent.Add(1)
+			r := s.post(s.fronts[i%entryCount], fmt.Sprint("entry ", i%entryCount), newID(), job(2, 1600, 200), 1500)
+			if r.status == http.StatusOK {
+				t.served.Add(1)
 			}
+		}()
+		time.Sleep(50 * time.Millisecond)
+	}
+	group.Wait()
+	s.record.write("%s: %d of %d requests were served", name, t.served.Load(), t.sent.Load())
+	return &t
+}
+
+// deafAgents sends each executor's agent one ping of another writer.
+func deafAgents(s *site, trouble bool) error {
+	s.operate()
+	if err := s.start(func(int, *executor) {}); err != nil {
+		return err
+	}
+	before := s.count("before")
+	if before.served.Load()*4 < before.sent.Load() {
+		return fmt.Errorf("%w: too little was served before the disruption", errNotRun)
+	}
+	if trouble {
+		for _, e := range s.executors {
+			e.foreignPing(100_000)
 		}
-	})
-	if err != nil {
+	}
+	time.Sleep(recoverS)
+	for _, e := range s.executors {
+		s.record.write("executor %s: its ping with seq %d was answered %d", e.id, e.seq.Load(), e.lastStatus.Load())
+	}
+	after := s.count("from 12 s after the pings")
+	if after.served.Load()*4 < after.sent.Load() {
+		s.record.broken("RECOVER: %d of %d requests sent later than %v after the pings were served, %d of %d before them",
+			after.served.Load(), after.sent.Load(), recoverS, before.served.Load(), before.sent.Load())
+	}
+	return nil
+}
+
+const (
+	// unreadRounds bounds the rounds of cancelUnread, unreadJobs the jobs in each.
+	unreadRounds = 10
+	unreadJobs   = 12
+	// freezeTime is how long an entry stands still; the site file freezes for up to 4 s.
+	freezeTime = 450 * time.Millisecond
+)
+
+// cancelUnread cancels jobs that were sent to an entry which stands still, and which has
+// not read them.
+func cancelUnread(s *site, trouble bool) error {
+	s.operate()
+	if err := s.start(func(int, *executor) {}); err != nil {
 		return err
 	}
-	stop := make(chan struct{})
-	go s.load(stop, 100*time.Millisecond, job(8, 1600, 900))
-	time.Sleep(4 * time.Second)
+	for round := range unreadRounds {
+		if err := s.unreadRound(round%entryCount, trouble); err != nil || s.record.count() > 0 {
+			return err
+		}
+	}
+	return nil
+}
+
+func (s *site) unreadRound(frozen int, trouble bool) error {
+	other := (frozen + 1) % entryCount
+	conns := make([]*connection, unreadJobs)
+	for i := range conns {
+		conn, err := dial(s.fronts[frozen])
+		if err != nil {
+			return fmt.Errorf("%w: %w", errNotRun, err)
+		}
+		defer conn.Close()
+		if r := conn.exchange(http.MethodGet, host, prefix, "", 1500, time.Second); r.status != http.StatusOK {
+			return fmt.Errorf("%w: GET was answered %d %w", errNotRun, r.status, r.err)
+		}
+		conns[i] = conn
+	}
 	if trouble {
-		s.executors[0].foreignPing(1000)
-		s.executors[6].foreignPing(1000)
+		s.entries[frozen].signal(syscall.SIGSTOP)
+		s.record.write("entry %d stands still", frozen)
+	}
+	thaw := time.Now().Add(freezeTime)
+	ids := make([]string, unreadJobs)
+	for i, conn := range conns {
+		ids[i] = newID()
+		s.record.write("client: POST %s at entry %d, on an open connection", ids[i], frozen)
+		go func() {
+			r := conn.exchange(http.MethodPost, host, prefix+ids[i], job(1, 1600, int(longTask.Milliseconds())), patientMS, patientMS*time.Millisecond)
+			s.record.write("client: POST %s at entry %d: answered %d %s %s", ids[i], frozen, r.status, r.body, errText(r.err))
+		}()
+	}
+	time.Sleep(150 * time.Millisecond)
+	answers := make([]result, unreadJobs)
+	var group sync.WaitGroup
+	for i, id := range ids {
+		group.Add(1)
+		go func() {
+			defer group.Done()
+			r := request(s.fronts[other], http.MethodDelete, host, prefix+id, "", 1500, 4*time.Second)
+			s.record.write("client: DELETE %s at entry %d sent at %s: answered %d after %v %s",
+				id, other, s.record.at(r.sentAt), r.status, r.endedAt.Sub(r.sentAt), errText(r.err))
+			answers[i] = r
+		}()
+	}
+	time.Sleep(time.Until(thaw))
+	if trouble {
+		s.entries[frozen].signal(syscall.SIGCONT)
+		s.record.write("entry %d goes on", frozen)
+	}
+	group.Wait()
+	// contact_ms after the freeze all machines are in touch, and in the calm cancel_ms and
+	// stop_ms after that the tasks have to end. 50 ms more are for the delays of this process.
+	time.Sleep(time.Until(time.Now().Add(contactMS + cancelMS + stopMS + 50*time.Millisecond)))
+	for i, id := range ids {
+		acked := answers[i].status == http.StatusOK || answers[i].status == http.StatusGone
+		if left := s.workers(id); acked && len(left) > 0 {
+			s.record.broken("UNASKED: the DELETE of %s was answered %d, and %v later this runs on: %v",
+				id, answers[i].status, time.Since(answers[i].endedAt), left)
+		}
 	}
-	time.Sleep(6 * time.Second)
-	close(stop)
-	time.Sleep(2 * time.Second)
 	return nil
 }
 
@@ -350,3 +495,32 @@
 			entry, s.record.at(since), id, r.sentAt.Sub(since), took)
 	}
 }
+
+// cancelCopied cancels jobs right after their 2xx answers, and lets a copy of each job's
+// request arrive at another entry seconds after the answer.
+func cancelCopied(s *site, trouble bool) error {
+	s.operate()
+	if err := s.start(func(int, *executor) {}); err != nil {
+		return err
+	}
+	return each(entryCount, func(i int) error {
+		other := (i + 1) % entryCount
+		id, body := newID(), job(2, 1600, 900)
+		if r := s.post(s.fronts[i], fmt.Sprint("entry ", i), id, body, 3000); r.status != http.StatusOK {
+			return fmt.Errorf("%w: the POST was answered %d", errNotRun, r.status)
+		}
+		time.Sleep(100 * time.Millisecond)
+		if err := s.cancelAndCheck(i, id); err != nil {
+			return err
+		}
+		time.Sleep(time.Second)
+		if trouble {
+			go s.post(s.fronts[other], fmt.Sprint("entry ", other, " (a copy)"), id, body, 3000)
+		}
+		time.Sleep(500 * time.Millisecond)
+		if left := s.workers(id); len(left) > 0 {
+			s.record.broken("UNASKED: the cancelling of %s was acknowledged more than %v ago, and these are started: %v", id, cancelMS, left)
+		}
+		return nil
+	})
+}
--- a/review/_rig3/executor.go
+++ b/review/_rig3/executor.go
@@ -31,6 +31,8 @@
 	// runs holds what the tasks that run were told to take, by task.
 	runs map[string]int
 	seq  atomic.Int64
+	// lastStatus is the status of the answer to its last ping.
+	lastStatus atomic.Int64
 	// state is what the executor says of itself.
 	state atomic.Value
 	// drainAckedAt is when a ping with the state draining was acknowledged.
@@ -203,6 +205,7 @@
 		body["drain_remaining_ms"] = 2000
 	}
 	status := e.send(body)
+	e.lastStatus.Store(int64(status))
 	if state == "draining" && status == http.StatusOK {
 		e.drainAckedAt.CompareAndSwap(0, time.Now().UnixNano())
 		e.record.write("executor %s: its ping with seq %d says draining; answered %d", e.id, e.seq.Load(), status)
--- a/review/_rig3/main.go
+++ b/review/_rig3/main.go
@@ -29,11 +29,13 @@
 // cases holds a scenario by its name. It gets the site, which has not been started, and
 // whether there is a disruption.
 var cases = map[string]func(s *site, trouble bool) error{
-	"cancel-moved":   cancelMoved,
-	"foreign-ping":   foreignPing,
-	"drain-ignored":  drainIgnored,
-	"cancel-settled": cancelSettled,
-	"drain-cancel":   drainCancel,
+	"delayed-post":  delayedPost,
+	"deaf-agents":   deafAgents,
+	"drain-cancel":  drainCancel,
+	"cancel-unread": cancelUnread,
+	"cancel-moved":  cancelMoved,
+	"drain-ignored": drainIgnored,
+	"cancel-copied": cancelCopied,
 }
 
 func main() { os.Exit(run()) }
--- a/review/_rig3/path.go
+++ b/review/_rig3/path.go
@@ -1,65 +1,72 @@
 package main
 
 import (
-	"io"
 	"net"
-	"sync/atomic"
+	"time"
 )
 
-// path is a client's way to an entry. It can reset a connection instead of passing an
-// answer on.
-type path struct {
+// delay is a client's way to an entry on which everything arrives late, in both
+// directions, the end of a connection too.
+type delay struct {
 	target   string
 	listener net.Listener
-	reset    atomic.Bool
-	onReset  func()
+	late     time.Duration
 }
 
-func newPath(ip, target string) (*path, error) {
+// piece is what was read at one time; nil is the end of the connection.
+type piece struct {
+	data []byte
+	due  time.Time
+}
+
+func newDelay(ip, target string, late time.Duration) (*delay, error) {
 	listener, err := net.Listen("tcp", ip+":0")
 	if err != nil {
 		return nil, err
 	}
-	p := &path{target: target, listener: listener}
-	go p.serve()
-	return p, nil
+	d := &delay{target: target, listener: listener, late: late}
+	go d.serve()
+	return d, nil
 }
 
-func (p *path) serve() {
+func (d *delay) serve() {
 	for {
-		conn, err := p.listener.Accept()
+		client, err := d.listener.Accept()
 		if err != nil {
 			return
 		}
-		go p.pass(conn.(*net.TCPConn))
+		server, err := net.Dial("tcp", d.target)
+		if err != nil {
+			_ = client.Close()
+			continue
+		}
+		go d.pass(client, server)
+		go d.pass(server, client)
 	}
 }
 
-func (p *path) pass(client *net.TCPConn) {
-	defer client.Close()
-	server, err := net.Dial("tcp", p.target)
-	if err != nil {
-		return
-	}
-	defer server.Close()
+// pass carries one direction of a connection.
+func (d *delay) pass(from, to net.Conn) {
+	pieces := make(chan piece, 1000)
 	go func() {
-		_, _ = io.Copy(server, client)
-		_ = server.(*net.TCPConn).CloseWrite()
+		for p := range pieces {
+			time.Sleep(time.Until(p.due))
+			if p.data == nil {
+				_ = to.Close()
+				return
+			}
+			// A failed write means that the other side has ended the connection.
+			_, _ = to.Write(p.data)
+		}
 	}()
 	buffer := make([]byte, 64<<10)
 	for {
-		n, err := server.Read(buffer)
+		n, err := from.Read(buffer)
 		if n > 0 {
-			if p.reset.Load() {
-				p.onReset()
-				_ = client.SetLinger(0)
-				return
-			}
-			if _, err := client.Write(buffer[:n]); err != nil {
-				return
-			}
+			pieces <- piece{data: append([]byte{}, buffer[:n]...), due: time.Now().Add(d.late)}
 		}
 		if err != nil {
+			pieces <- piece{due: time.Now().Add(d.late)}
 			return
 		}
 	}
--- a/review/_rig3/site.go
+++ b/review/_rig3/site.go
@@ -59,7 +59,9 @@
 	fronts    []string
 	executors []*executor
 	servers   []*http.Server
-	paths     []*path
+	paths     []*delay
+	// snapshot is held while the locks of all executors are taken.
+	snapshot sync.Mutex
 }
 
 var errNotRun = errors.New("the case couldn't run")
