--- a/review/_rig3/client.go
+++ b/review/_rig3/client.go
@@ -49,6 +49,7 @@
 		var response *http.Response
 		response, r.err = http.ReadResponse(c.reader, &http.Request{Method: method})
 		if r.err == nil {
+			defer response.Body.Close()
 			var data []byte
 			data, r.err = io.ReadAll(response.Body)
 			if r.err == nil {
--- a/review/_rig3/main.go
+++ b/review/_rig3/main.go
@@ -36,6 +36,7 @@
 	"cancel-moved":  cancelMoved,
 	"drain-ignored": drainIgnored,
 	"cancel-copied": cancelCopied,
+	"sent-ahead":    sentAhead,
 }
 
 func main() { os.Exit(run()) }
