agent: take a missing record for a proof only if the start is younger than all forgotten runs

Cause: an entry that was cut off repeats its unanswered starts on the next link. The agent keeps records of volatile tasks for 10 s, and refused a start without a record as never started, whether its record had expired or it had never arrived. A cancel without a record was answered with the same proof, and so was a start whose record another owner's attempt had replaced.

Change: each start is dated by the report that it echoes, and copies of the start and its cancel keep that date. The agent logs why it has no proof (doubt, unproven_answers), the entry logs in_doubt.

--- a/internal/daemon/launcher/agent_control.go
+++ b/internal/daemon/launcher/agent_control.go
@@ -176,10 +176,16 @@
 
 func (c *agentControl) logDecision(d gatekeeper.Decision) {
 	outcome := "refuse"
-	if d.Started {
+	switch {
+	case d.Started:
 		outcome = "start"
+	case d.Cancelled:
+		outcome = "cancel"
 	}
 	c.counters.of(outcome).Inc(1)
+	if d.Doubt != "" {
+		c.scope.Tagged(map[string]string{"doubt": string(d.Doubt)}).Counter("unproven_answers").Inc(1)
+	}
 	c.logger.Info("decision",
 		zap.String("kind", outcome),
 		zap.Stringer("submission", d.Task.Submission),
@@ -187,6 +193,7 @@
 		zap.Int("attempt", d.Attempt),
 		zap.String("owner", string(d.Owner)),
 		zap.String("reason", string(d.Reason)),
+		zap.String("doubt", string(d.Doubt)),
 		zap.Int("milli_cpu", d.Size.MilliCPU),
 		zap.Int("taken_milli_cpu", d.Taken.MilliCPU),
 		zap.Int("capacity_milli_cpu", d.Capacity.MilliCPU),
--- a/internal/dispatch/coordinator/cancel.go
+++ b/internal/dispatch/coordinator/cancel.go
@@ -199,13 +199,19 @@
 			}
 			sent.cancelSent = true
 			s.counters.Cancels++
-			s.send(sent.agent.incarnation, messenger.Cancel{Task: t.key(), Attempt: sent.attempt})
+			s.sendCancel(t, sent)
 		}
 	}
 }
 
-// cancelled handles an agent's answer to a cancel. A tombstone proves that the attempt
-// did not start and never will. A running task is awaited until the job's deadline.
+func (s *State) sendCancel(t *task, sent *sentCopy) {
+	s.send(sent.agent.incarnation, messenger.Cancel{
+		Task: t.key(), Attempt: sent.attempt, ReportSequence: sent.reportSequence, Volatile: t.job.submission.Volatile,
+	})
+}
+
+// cancelled handles an agent's answer to a cancel. After a tombstone the attempt does not run
+// and never will. A running task is awaited until the job's deadline.
 func (s *State) cancelled(from messenger.Incarnation, m messenger.Cancelled) {
 	t := s.findTask(m.Task)
 	if t == nil {
@@ -213,10 +219,18 @@
 	}
 	switch m.State {
 	case messenger.RecordTombstoned:
-		if !s.removeCopy(t, m.Attempt, from, placer.TaskResult{Outcome: placer.NotStarted}) {
+		outcome := placer.NotStarted
+		if !m.NeverStarted {
+			outcome = placer.Lost
+		}
+		if !s.removeCopy(t, m.Attempt, from, placer.TaskResult{Outcome: outcome}) || t.phase == taskDone {
+			return
+		}
+		if !m.NeverStarted {
+			s.markInDoubt(t, "the agent cannot prove that the cancelled attempt has not run")
 			return
 		}
-		if len(t.copies) > 0 || t.phase == taskDone {
+		if len(t.copies) > 0 {
 			return
 		}
 		if t.job.submission.Volatile && t.job.stopReason == "" {
--- a/internal/dispatch/coordinator/dispatch.go
+++ b/internal/dispatch/coordinator/dispatch.go
@@ -199,7 +199,9 @@
 	t.class.attemptSent(t)
 	s.setPending(t.job, false)
 	t.phase = taskSent
-	t.copies = append(t.copies, sentCopy{attempt: attempt, agent: a, at: s.now, overdueAt: s.overdueAt(t, a)})
+	t.copies = append(t.copies, sentCopy{
+		attempt: attempt, agent: a, at: s.now, reportSequence: a.sequence, overdueAt: s.overdueAt(t, a),
+	})
 	if t.job.late != nil {
 		s.updateLate(t.job)
 	}
@@ -218,20 +220,20 @@
 		Considered: choice.Considered,
 		RunnerUp:   choice.RunnerUp,
 	})
-	start := s.startMessage(t, attempt, a)
+	start := s.startMessage(t, &t.copies[len(t.copies)-1])
 	start.NoQueue = t.mayReroute(attempt, choice)
 	s.send(a.incarnation, start)
 }
 
-func (s *State) startMessage(t *task, attempt int, a *agent) messenger.Start {
+func (s *State) startMessage(t *task, sent *sentCopy) messenger.Start {
 	key := t.job.submission.Key
 	spec := t.job.submission.Tasks[t.index]
 	return messenger.Start{
 		Task:             t.key(),
-		Attempt:          attempt,
+		Attempt:          sent.attempt,
 		Owner:            s.Config.Incarnation,
-		AgentIncarnation: a.incarnation,
-		ReportSequence:   a.sequence,
+		AgentIncarnation: sent.agent.incarnation,
+		ReportSequence:   sent.reportSequence,
 		TimeLeft:         t.job.deadlineAt.Sub(s.now),
 		Priority:         t.priorityAtAgent(),
 		Repeatable:       t.job.submission.Repeatable,
@@ -240,7 +242,7 @@
 		Volatile:         t.job.submission.Volatile,
 		Size:             spec.Size,
 		Position:         spec.Position,
-		DespiteSuspicion: s.usedDespiteSuspicion(a),
+		DespiteSuspicion: s.usedDespiteSuspicion(sent.agent),
 	}
 }
 
--- a/internal/dispatch/coordinator/effects.go
+++ b/internal/dispatch/coordinator/effects.go
@@ -108,11 +108,14 @@
 	DecisionPlace      DecisionKind = "place"
 	DecisionPlaceAgain DecisionKind = "place_again"
 	DecisionGiveUp     DecisionKind = "give_up"
-	DecisionForward    DecisionKind = "forward"
-	DecisionTakeover   DecisionKind = "takeover"
-	DecisionEject      DecisionKind = "eject"
-	DecisionProbe      DecisionKind = "probe"
-	DecisionOverdue    DecisionKind = "overdue"
+	// DecisionInDoubt reports that an attempt has ended that may have run, and that its task
+	// continues.
+	DecisionInDoubt  DecisionKind = "in_doubt"
+	DecisionForward  DecisionKind = "forward"
+	DecisionTakeover DecisionKind = "takeover"
+	DecisionEject    DecisionKind = "eject"
+	DecisionProbe    DecisionKind = "probe"
+	DecisionOverdue  DecisionKind = "overdue"
 	// DecisionStrained reports that the entry has too little processor time for its
 	// calls, DecisionRelieved that it has enough again.
 	DecisionStrained DecisionKind = "strained"
--- a/internal/dispatch/coordinator/job.go
+++ b/internal/dispatch/coordinator/job.go
@@ -97,10 +97,12 @@
 // sentCopy is one outstanding attempt: its start was sent to an agent, which has not
 // reported its end. A task that is not repeatable has at most one outstanding attempt.
 type sentCopy struct {
-	attempt    int
-	agent      *agent
-	at         time.Time
-	cancelSent bool
+	attempt int
+	agent   *agent
+	at      time.Time
+	// reportSequence is that of the agent's last report when the start was first sent.
+	reportSequence uint64
+	cancelSent     bool
 	// overdueAt is when a volatile task counts as stuck at its endpoint.
 	overdueAt time.Time
 	overdue   bool
--- a/internal/dispatch/coordinator/late_simulation_test.go
+++ b/internal/dispatch/coordinator/late_simulation_test.go
@@ -261,7 +261,9 @@
 		return w.start.Task == m.Task && w.start.Attempt == m.Attempt
 	})
 	if len(a.queue) < before {
-		s.reply(entry, a, messenger.Cancelled{Task: m.Task, Attempt: m.Attempt, State: messenger.RecordTombstoned})
+		s.reply(entry, a, messenger.Cancelled{
+			Task: m.Task, Attempt: m.Attempt, State: messenger.RecordTombstoned, NeverStarted: true,
+		})
 	}
 }
 
--- a/internal/dispatch/coordinator/members.go
+++ b/internal/dispatch/coordinator/members.go
@@ -116,14 +116,19 @@
 }
 
 // resendCopy repeats the last message about an unanswered attempt. A cancelled attempt must
-// not start, so its start is not repeated.
+// not start, so its start is not repeated. The repeated message is dated like the first one:
+// an agent whose record has expired must not take the attempt for a new one.
 func (s *State) resendCopy(a *agent, key copyKey) {
 	t := a.sent[key]
-	if i := t.copyOf(key.attempt); i >= 0 && t.copies[i].cancelSent {
-		s.send(a.incarnation, messenger.Cancel{Task: key.task, Attempt: key.attempt})
+	i := t.copyOf(key.attempt)
+	if i < 0 {
 		return
 	}
-	s.send(a.incarnation, s.startMessage(t, key.attempt, a))
+	if sent := &t.copies[i]; sent.cancelSent {
+		s.sendCancel(t, sent)
+		return
+	}
+	s.send(a.incarnation, s.startMessage(t, &t.copies[i]))
 }
 
 func (a *agent) sortedCopies() []copyKey {
--- a/internal/dispatch/coordinator/overdue.go
+++ b/internal/dispatch/coordinator/overdue.go
@@ -78,7 +78,7 @@
 		Kind: DecisionOverdue, Submission: t.job.submission.Key, Task: t.index, Attempt: attempt,
 		Endpoint: sent.agent.name, Reason: "runs for " + s.now.Sub(sent.at).String(),
 	})
-	s.send(sent.agent.incarnation, messenger.Cancel{Task: t.key(), Attempt: attempt})
+	s.sendCancel(t, sent)
 }
 
 // endedAsOverdue reports whether a run was interrupted because it was overdue.
--- a/internal/dispatch/coordinator/results.go
+++ b/internal/dispatch/coordinator/results.go
@@ -150,13 +150,16 @@
 
 // markInDoubt retries a task that may have run, or finishes it as may_have_run.
 func (s *State) markInDoubt(t *task, reason string) {
+	decision := Decision{
+		Kind: DecisionInDoubt, Submission: t.job.submission.Key, Task: t.index, Attempt: t.attempt, Reason: reason,
+	}
 	outcome := messenger.TaskOutcome{State: messenger.TaskMayHaveRun, Reason: reason}
 	if s.retry(t, outcome) {
+		s.emit(decision)
 		return
 	}
-	s.emit(Decision{
-		Kind: DecisionGiveUp, Submission: t.job.submission.Key, Task: t.index, Attempt: t.attempt, Reason: reason,
-	})
+	decision.Kind = DecisionGiveUp
+	s.emit(decision)
 	s.finishTask(t, outcome)
 }
 
--- a/internal/dispatch/coordinator/script_render_test.go
+++ b/internal/dispatch/coordinator/script_render_test.go
@@ -62,7 +62,7 @@
 }
 
 func renderSend(e Send, wanted string) string {
-	text := renderMessage(e.Message)
+	text := renderMessage(e.Message, wanted)
 	switch kind, _, _ := strings.Cut(text, " "); kind {
 	case "status", "peer_status":
 		if !strings.Contains(wanted, " "+kind+" ") {
@@ -75,16 +75,25 @@
 	return string(e.To) + " " + text
 }
 
-func renderMessage(message messenger.Message) string {
+// renderReport renders the report that a message echoes if the step expects any.
+func renderReport(sequence uint64, wanted string) string {
+	if !strings.Contains(wanted, " report=") {
+		return ""
+	}
+	return fmt.Sprintf(" report=%d", sequence)
+}
+
+func renderMessage(message messenger.Message, wanted string) string {
 	switch m := message.(type) {
 	case messenger.Start:
 		text := fmt.Sprintf("start %s/%d attempt=%d", m.Task.Submission.ID, m.Task.Index, m.Attempt)
 		if m.DespiteSuspicion {
 			text += " despite_suspicion"
 		}
-		return text
+		return text + renderReport(m.ReportSequence, wanted)
 	case messenger.Cancel:
-		return fmt.Sprintf("cancel %s/%d attempt=%d", m.Task.Submission.ID, m.Task.Index, m.Attempt)
+		text := fmt.Sprintf("cancel %s/%d attempt=%d", m.Task.Submission.ID, m.Task.Index, m.Attempt)
+		return text + renderReport(m.ReportSequence, wanted)
 	case messenger.Fence:
 		text := "fence " + string(m.Owner)
 		for i, key := range m.Submissions {
--- a/internal/dispatch/coordinator/script_verbs_test.go
+++ b/internal/dispatch/coordinator/script_verbs_test.go
@@ -112,6 +112,7 @@
 	case "cancelled":
 		r.receive(from, messenger.Cancelled{
 			Task: taskNamed(step.Word(1)), Attempt: attempt, State: messenger.RecordState(step.Text("state", "tombstoned")),
+			NeverStarted: step.Text("never", "true") == "true",
 		})
 	case "fenced":
 		r.receive(from, r.fenced(step))
--- a/internal/dispatch/gatekeeper/events.go
+++ b/internal/dispatch/gatekeeper/events.go
@@ -121,13 +121,19 @@
 // out. DomainVerified follows if the store answers.
 type VerifyDomain struct{}
 
-// Decision is logged for each start and each refusal.
+// Decision is logged for each start, for each refusal, and for each cancel of an attempt that
+// may have run.
 type Decision struct {
 	Task    messenger.TaskKey       `json:"task"`
 	Attempt int                     `json:"attempt"`
 	Owner   messenger.Incarnation   `json:"owner"`
 	Started bool                    `json:"started"`
 	Reason  messenger.RefusalReason `json:"reason,omitempty"`
+	// Cancelled is true for a cancel.
+	Cancelled bool `json:"cancelled,omitempty"`
+	// Doubt is why it is not certain that the attempt has never started here; empty if it is
+	// certain.
+	Doubt Doubt `json:"doubt,omitempty"`
 	// Size is what the task requests, Taken what the running tasks already use, and
 	// Capacity the total of the endpoint.
 	Size     messenger.Resources `json:"size,omitzero"`
@@ -135,6 +141,19 @@
 	Capacity messenger.Resources `json:"capacity,omitzero"`
 }
 
+// Doubt is why an agent cannot prove that an attempt has never started.
+type Doubt string
+
+// The reasons of a Doubt.
+const (
+	// DoubtIncarnation: the start was meant for another incarnation of the agent.
+	DoubtIncarnation Doubt = "other_incarnation"
+	// DoubtForgotten: the record of a run of the attempt may have expired.
+	DoubtForgotten Doubt = "record_expired"
+	// DoubtRecorded: by the record of the task, the attempt has started, or was in doubt before.
+	DoubtRecorded Doubt = "recorded"
+)
+
 // Drained reports that the graceful stop is complete.
 type Drained struct{}
 
--- a/internal/dispatch/gatekeeper/fences.go
+++ b/internal/dispatch/gatekeeper/fences.go
@@ -36,9 +36,7 @@
 			continue
 		}
 		s.waiting = s.waiting.Sub(r.size)
-		r.state = messenger.RecordTombstoned
-		r.stoppedByFence = !r.repeatable
-		r.payload = nil
+		s.tombstone(r, true)
 	}
 	s.queue = kept
 }
--- a/internal/dispatch/gatekeeper/results.go
+++ b/internal/dispatch/gatekeeper/results.go
@@ -1,8 +1,6 @@
 package gatekeeper
 
 import (
-	"slices"
-
 	"github.com/burdockrudder/burdockrudder/internal/dispatch/messenger"
 )
 
@@ -77,16 +75,14 @@
 	}
 	switch {
 	case r == nil || (r.state == messenger.RecordTombstoned && m.Attempt > r.attempt):
-		r = &record{task: m.Task, attempt: m.Attempt, owner: from, state: messenger.RecordTombstoned}
-		s.storeRecord(r)
+		r = s.tombstoneCancelled(from, m, r)
 	case m.Attempt < r.attempt:
 		return
 	case r.state == messenger.RecordQueued:
 		s.dequeue(r)
-		r.state = messenger.RecordTombstoned
-		r.payload = nil
+		s.tombstone(r, true)
 	}
-	s.send(from, messenger.Cancelled{Task: m.Task, Attempt: m.Attempt, State: r.state})
+	s.answerCancel(from, m, r.state, r.neverStarted())
 	if r.volatile && r.owner == from && r.state == messenger.RecordRunning {
 		s.abort(r, "cancelled by the owner")
 	}
@@ -95,20 +91,46 @@
 	}
 }
 
+// tombstoneCancelled records a tombstone for a cancelled attempt that has no record. Earlier
+// is the record of the task, or nil.
+func (s *State) tombstoneCancelled(from messenger.Incarnation, m messenger.Cancel, earlier *record) *record {
+	proven := s.isUnstarted(m.Task, attemptKey{from, m.Attempt}, m.ReportSequence, m.Volatile)
+	r := &record{task: m.Task, attempt: m.Attempt, owner: from, volatile: m.Volatile}
+	if earlier != nil {
+		r.inherit(earlier)
+	}
+	s.tombstone(r, proven)
+	s.storeRecord(r)
+	return r
+}
+
 // cancelBesideOther handles a cancel of an attempt while the record of the task is the one
-// of another owner, which stays as it is. The cancelled attempt either is the run that other
-// has superseded, whose end is still awaited, or it has not arrived and is tombstoned.
+// of another owner, which stays as it is. The cancelled attempt is a run that has been
+// superseded and whose end is still awaited, or it never starts from now on.
 func (s *State) cancelBesideOther(from messenger.Incarnation, m messenger.Cancel, other *record) {
-	state := messenger.RecordTombstoned
+	key := attemptKey{from, m.Attempt}
 	for _, r := range s.live {
-		if r.task == m.Task && r.owner == from && r.attempt == m.Attempt {
-			state = messenger.RecordRunning
+		if r.task == m.Task && r.key() == key {
+			s.answerCancel(from, m, messenger.RecordRunning, false)
+			return
 		}
 	}
-	if cancelled := (attemptKey{from, m.Attempt}); state == messenger.RecordTombstoned && !slices.Contains(other.refused, cancelled) {
-		other.refused = append(other.refused, cancelled)
-	}
-	s.send(from, messenger.Cancelled{Task: m.Task, Attempt: m.Attempt, State: state})
+	proven := s.isUnstarted(m.Task, key, m.ReportSequence, m.Volatile)
+	s.refuseCopies(other, key, proven)
+	s.answerCancel(from, m, messenger.RecordTombstoned, proven)
+}
+
+func (s *State) answerCancel(to messenger.Incarnation, m messenger.Cancel, state messenger.RecordState, proven bool) {
+	if state == messenger.RecordTombstoned && !proven {
+		s.emitDecision(Decision{
+			Task: m.Task, Attempt: m.Attempt, Owner: to, Cancelled: true,
+			Doubt: s.doubt(proven, m.ReportSequence, m.Volatile),
+		})
+	}
+	s.send(to, messenger.Cancelled{
+		Task: m.Task, Attempt: m.Attempt, State: state,
+		NeverStarted: state == messenger.RecordTombstoned && proven,
+	})
 }
 
 func (s *State) expire() {
@@ -141,6 +163,7 @@
 	case r.state == messenger.RecordQueued || r.state == messenger.RecordRunning:
 		s.storeRecord(r)
 	default:
+		s.forgotten.forget(r)
 		delete(s.records, old.task)
 	}
 }
--- a/internal/dispatch/gatekeeper/script_test.go
+++ b/internal/dispatch/gatekeeper/script_test.go
@@ -87,7 +87,10 @@
 	case "start":
 		h.receive(step.Text("from", step.Text("owner", "e1")), h.start(step))
 	case "cancel":
-		h.receive(from, messenger.Cancel{Task: task(step.Word(0)), Attempt: step.Int(h.t, "attempt", 0)})
+		h.receive(from, messenger.Cancel{
+			Task: task(step.Word(0)), Attempt: step.Int(h.t, "attempt", 0), Volatile: step.Has("volatile"),
+			ReportSequence: uint64(step.Int(h.t, "seq", int(h.state.sequence))),
+		})
 	case "verified":
 		h.handle(DomainVerified{Out: step.Has("out")})
 	case "invoked":
@@ -270,7 +273,11 @@
 	case messenger.Finished:
 		return "finished " + short(m.Task, m.Attempt) + renderOutcome(m.Outcome)
 	case messenger.Cancelled:
-		return fmt.Sprintf("cancelled %s %s", short(m.Task, m.Attempt), m.State)
+		text := fmt.Sprintf("cancelled %s %s", short(m.Task, m.Attempt), m.State)
+		if m.State == messenger.RecordTombstoned && !m.NeverStarted {
+			text += " unproven"
+		}
+		return text
 	case messenger.Fenced:
 		text := fmt.Sprintf("fenced %s last=%t", m.Owner, m.Last)
 		for _, r := range m.Records {
--- a/internal/dispatch/gatekeeper/starts.go
+++ b/internal/dispatch/gatekeeper/starts.go
@@ -82,20 +82,18 @@
 	case m.Attempt == r.attempt && m.Owner == r.owner:
 		s.repeatAnswer(from, r)
 		return true
-	case r.state == messenger.RecordTombstoned && m.Attempt == r.attempt:
-		// A start from another owner for an attempt that was tombstoned.
-		s.refuse(from, m, messenger.RefusedTombstone, true)
-		return true
-	case slices.Contains(r.refused, attemptKey{m.Owner, m.Attempt}):
-		s.refuse(from, m, messenger.RefusedTombstone, true)
+	case r.state == messenger.RecordTombstoned && m.Attempt == r.attempt, r.pastAttempt(attemptKey{m.Owner, m.Attempt}) != nil:
+		// The attempt is known not to start, or it was tombstoned for another owner.
+		s.refuse(from, m, messenger.RefusedTombstone, s.provesNeverStarted(m))
 		return true
 	case r.state == messenger.RecordTombstoned:
 		return false
 	case r.repeatable && r.state == messenger.RecordFinished:
 		return false
 	case r.repeatable:
-		r.refused = append(r.refused, attemptKey{m.Owner, m.Attempt})
-		s.refuse(from, m, messenger.RefusedStarted, true)
+		proven := s.provesNeverStarted(m)
+		r.notePast(attemptKey{m.Owner, m.Attempt}, proven)
+		s.refuse(from, m, messenger.RefusedStarted, proven)
 		return true
 	default:
 		s.refuse(from, m, messenger.RefusedStarted, false)
@@ -111,7 +109,7 @@
 	case messenger.RecordTombstoned:
 		s.send(from, messenger.Refused{
 			Task: r.task, Attempt: r.attempt, Reason: messenger.RefusedTombstone,
-			NeverStarted: true, Load: s.shortLoad(from),
+			NeverStarted: r.neverStarted(), Load: s.shortLoad(from),
 		})
 	case messenger.RecordQueued, messenger.RecordRunning:
 		// The answer is sent when the task ends.
@@ -126,7 +124,7 @@
 		return reason, true
 	}
 	sent, ok := s.sentTime(m.ReportSequence)
-	if !ok || s.now.Sub(sent) > s.settings.StartFreshness {
+	if !ok || s.now.Sub(sent) > s.settings.StartFreshness || s.mayHaveForgotten(m.ReportSequence, m.Volatile) {
 		return messenger.RefusedStale, true
 	}
 	if m.TimeLeft <= 0 {
@@ -154,10 +152,14 @@
 	return float64(s.waiting.MilliCPU+size.MilliCPU) > allowed
 }
 
-func (s *State) refuse(to messenger.Incarnation, m messenger.Start, reason messenger.RefusalReason, never bool) {
-	s.emitDecision(Decision{Task: m.Task, Attempt: m.Attempt, Owner: m.Owner, Reason: reason, Size: m.Size})
+func (s *State) refuse(to messenger.Incarnation, m messenger.Start, reason messenger.RefusalReason, proven bool) {
+	doubt := s.doubt(proven, m.ReportSequence, m.Volatile)
+	if reason == messenger.RefusedIncarnation {
+		doubt = DoubtIncarnation
+	}
+	s.emitDecision(Decision{Task: m.Task, Attempt: m.Attempt, Owner: m.Owner, Reason: reason, Size: m.Size, Doubt: doubt})
 	s.send(to, messenger.Refused{
-		Task: m.Task, Attempt: m.Attempt, Reason: reason, NeverStarted: never, Load: s.shortLoad(to),
+		Task: m.Task, Attempt: m.Attempt, Reason: reason, NeverStarted: proven, Load: s.shortLoad(to),
 	})
 }
 
@@ -168,13 +170,20 @@
 }
 
 // refuseWithTombstone refuses a start and records a tombstone, so that the attempt is
-// guaranteed never to start here.
+// guaranteed not to start here from now on.
 func (s *State) refuseWithTombstone(to messenger.Incarnation, m messenger.Start, reason messenger.RefusalReason) {
-	r := s.newRecord(m)
+	proven := s.provesNeverStarted(m)
+	s.tombstone(s.newRecord(m), proven)
+	s.refuse(to, m, reason, proven)
+}
+
+// tombstone marks a record's attempt as one that never starts from now on. Proven is true if
+// it has certainly not started before either.
+func (s *State) tombstone(r *record, proven bool) {
 	r.state = messenger.RecordTombstoned
-	r.stoppedByFence = s.fenced[r.owner] != nil && !r.repeatable
+	r.proven = proven
+	r.stoppedByFence = proven && s.fenced[r.owner] != nil && !r.repeatable
 	r.payload = nil
-	s.refuse(to, m, reason, true)
 }
 
 func (s *State) newRecord(m messenger.Start) *record {
@@ -190,12 +199,10 @@
 		volatile:   m.Volatile,
 		size:       m.Size,
 		position:   m.Position,
+		receivedAt: s.now,
 	}
 	if earlier := s.records[m.Task]; earlier != nil {
-		r.refused = earlier.refused
-		if earlier.state == messenger.RecordTombstoned {
-			r.noteRefused(attemptKey{earlier.owner, earlier.attempt})
-		}
+		r.inherit(earlier)
 	}
 	s.storeRecord(r)
 	return r
@@ -219,6 +226,7 @@
 
 func (s *State) invoke(r *record) {
 	r.state = messenger.RecordRunning
+	r.startedAt = r.receivedAt
 	s.emitDecision(Decision{Task: r.task, Attempt: r.attempt, Owner: r.owner, Started: true, Size: r.size})
 	s.running++
 	s.taken = s.taken.Add(r.size)
@@ -292,9 +300,7 @@
 // refuseRecord refuses a recorded task with a guarantee that its current attempt
 // never starts here.
 func (s *State) refuseRecord(r *record, reason messenger.RefusalReason) {
-	r.state = messenger.RecordTombstoned
-	r.stoppedByFence = s.fenced[r.owner] != nil && !r.repeatable
-	r.payload = nil
+	s.tombstone(r, true)
 	s.emitDecision(Decision{Task: r.task, Attempt: r.attempt, Owner: r.owner, Reason: reason, Size: r.size})
 	for _, to := range s.recipients(r) {
 		s.send(to, messenger.Refused{
--- a/internal/dispatch/gatekeeper/state.go
+++ b/internal/dispatch/gatekeeper/state.go
@@ -25,8 +25,8 @@
 	// an accepted start (StartFreshness).
 	minRecordRetention = 6 * time.Minute
 	// reportHistorySize is the number of reports whose send times are kept, to date the
-	// echoes of entries.
-	reportHistorySize = 64
+	// echoes of entries. At two reports a second they cover minRecordRetention.
+	reportHistorySize = 1024
 	// defaultLoadReportInterval limits reports of a changed load to 100 per second,
 	// about 10 KB/s.
 	defaultLoadReportInterval = 10 * time.Millisecond
@@ -70,10 +70,11 @@
 	reportedAt time.Time
 	entries    map[messenger.Incarnation]*linkedEntry
 
-	records  map[messenger.TaskKey]*record
-	expiring []expiry
-	queue    []*record
-	running  int
+	records   map[messenger.TaskKey]*record
+	expiring  []expiry
+	forgotten forgotten
+	queue     []*record
+	running   int
 	// taken is the total size of the running tasks, waiting that of the queued ones.
 	taken   messenger.Resources
 	waiting messenger.Resources
@@ -113,11 +114,17 @@
 	runTime    time.Duration
 	expected   time.Duration
 	keepUntil  time.Time
-	// refused holds the attempts that were refused or cancelled, with a guarantee that they
-	// never start, while another attempt of the task had this record.
-	refused []attemptKey
-	// stoppedByFence is true if the current attempt was tombstoned because its owner
-	// was fenced.
+	// past holds the other attempts of the task that never start from now on.
+	past []pastAttempt
+	// receivedAt is when the start of the current attempt arrived. startedAt is that time of
+	// the last attempt that was started; zero if none was.
+	receivedAt time.Time
+	startedAt  time.Time
+	// proven is true if the current attempt was tombstoned and has certainly not started
+	// before.
+	proven bool
+	// stoppedByFence is true if the current attempt was tombstoned because its owner was
+	// fenced, and is proven.
 	stoppedByFence bool
 
 	volatile bool
@@ -132,12 +139,6 @@
 	predecessor *record
 }
 
-// attemptKey identifies an attempt of a task. Each owner numbers its own attempts.
-type attemptKey struct {
-	owner   messenger.Incarnation
-	attempt int
-}
-
 // runKey identifies one run of a volatile task.
 type runKey struct {
 	task messenger.TaskKey
--- a/internal/dispatch/gatekeeper/volatile.go
+++ b/internal/dispatch/gatekeeper/volatile.go
@@ -8,7 +8,8 @@
 )
 
 // volatileRetention is how long records of volatile tasks are kept. A start older than
-// StartFreshness (3 s) is refused, so later copies need no record.
+// StartFreshness (3 s) is refused, so later copies cannot start without a record. Whether they
+// have started before is not known then.
 const volatileRetention = 10 * time.Second
 
 // startVolatile decides whether an attempt of a volatile task starts, is queued or is
@@ -22,8 +23,8 @@
 		}
 		return
 	}
-	if known != nil && slices.Contains(known.refused, attemptKey{m.Owner, m.Attempt}) {
-		s.refuse(from, m, messenger.RefusedTombstone, true)
+	if known != nil && known.pastAttempt(attemptKey{m.Owner, m.Attempt}) != nil {
+		s.refuse(from, m, messenger.RefusedTombstone, s.provesNeverStarted(m))
 		return
 	}
 	if reason, refused := s.refusal(m); refused {
@@ -61,7 +62,6 @@
 	case messenger.RecordQueued:
 		s.dequeue(known)
 		s.refuseRecord(known, messenger.RefusedStarted)
-		r.noteRefused(attemptKey{known.owner, known.attempt})
 	case messenger.RecordRunning:
 		r.predecessor = known
 		s.abort(known, "another owner has started the same task")
@@ -78,22 +78,16 @@
 	}
 	// A copy of the start may arrive after the reason of the refusal has gone, when the owner
 	// has placed the task elsewhere.
-	s.refuseCopies(m)
-	s.refuse(to, m, reason, true)
+	proven := s.provesNeverStarted(m)
+	s.refuseCopies(s.records[m.Task], attemptKey{m.Owner, m.Attempt}, proven)
+	s.refuse(to, m, reason, proven)
 }
 
-// refuseCopies notes an attempt in the record of the task, so that it never starts. The
+// refuseCopies notes an attempt in the record of its task, so that it does not start. The
 // record is kept for as long as a copy of the start may arrive.
-func (s *State) refuseCopies(m messenger.Start) {
-	known := s.records[m.Task]
-	known.noteRefused(attemptKey{m.Owner, m.Attempt})
-	s.storeRecord(known)
-}
-
-func (r *record) noteRefused(key attemptKey) {
-	if !slices.Contains(r.refused, key) {
-		r.refused = append(r.refused, key)
-	}
+func (s *State) refuseCopies(r *record, key attemptKey, proven bool) {
+	r.notePast(key, proven)
+	s.storeRecord(r)
 }
 
 // awaitLiveRun lets a new record wait for the end of a run of the same task. The record of
--- a/internal/dispatch/messenger/messages.go
+++ b/internal/dispatch/messenger/messages.go
@@ -59,14 +59,17 @@
 	Task TaskKey `json:"task"`
 	// Attempt is incremented when the task is placed again: after proof that the
 	// previous attempt did not start, or to retry a repeatable request.
-	Attempt          int           `json:"attempt"`
-	Owner            Incarnation   `json:"owner"`
-	AgentIncarnation Incarnation   `json:"agent_incarnation"`
-	ReportSequence   uint64        `json:"report_sequence"`
-	TimeLeft         time.Duration `json:"time_left"`
-	Priority         Priority      `json:"priority"`
-	Repeatable       bool          `json:"repeatable,omitempty"`
-	Payload          []byte        `json:"payload,omitempty"`
+	Attempt          int         `json:"attempt"`
+	Owner            Incarnation `json:"owner"`
+	AgentIncarnation Incarnation `json:"agent_incarnation"`
+	// ReportSequence is the sequence of the agent's last report when the start was first
+	// sent. The agent derives the maximum age of the start from it. A start that is sent
+	// again repeats it.
+	ReportSequence uint64        `json:"report_sequence"`
+	TimeLeft       time.Duration `json:"time_left"`
+	Priority       Priority      `json:"priority"`
+	Repeatable     bool          `json:"repeatable,omitempty"`
+	Payload        []byte        `json:"payload,omitempty"`
 	// ExpectedRunTime is the entry's estimate of the run time on an endpoint of mean
 	// speed.
 	ExpectedRunTime time.Duration `json:"expected_run_time,omitempty"`
@@ -106,10 +109,11 @@
 	RefusedSuspect RefusalReason = "endpoint_suspect"
 )
 
-// Refused reports to an entry that a start was refused. If NeverStarted is true, the
-// agent has not started the attempt. Unless the agent has a record of another attempt
-// or of another owner's start of the task, it has also recorded a tombstone, so the
-// attempt can't start later either.
+// Refused reports to an entry that a start was refused. If NeverStarted is true, it is proven
+// that the agent has not started the attempt. Otherwise the attempt may have run and its
+// record may have expired. In both cases the attempt does not run, and unless the agent has a
+// record of another attempt or of another owner's start of the task, it has recorded a
+// tombstone, so the attempt can't start later either.
 type Refused struct {
 	Task         TaskKey       `json:"task"`
 	Attempt      int           `json:"attempt"`
@@ -132,6 +136,9 @@
 type Cancel struct {
 	Task    TaskKey `json:"task"`
 	Attempt int     `json:"attempt"`
+	// ReportSequence is that of the attempt's start.
+	ReportSequence uint64 `json:"report_sequence,omitempty"`
+	Volatile       bool   `json:"volatile,omitempty"`
 }
 
 // RecordState is the state of an attempt of a task at an agent.
@@ -145,12 +152,14 @@
 	RecordTombstoned RecordState = "tombstoned"
 )
 
-// Cancelled answers a Cancel. The state RecordTombstoned proves that the attempt
-// never starts.
+// Cancelled answers a Cancel. With the state RecordTombstoned the attempt does not run and
+// never starts from now on.
 type Cancelled struct {
 	Task    TaskKey     `json:"task"`
 	Attempt int         `json:"attempt"`
 	State   RecordState `json:"state"`
+	// NeverStarted proves that a tombstoned attempt has not started before either.
+	NeverStarted bool `json:"never_started,omitempty"`
 }
 
 // Fence notifies an agent that an entry incarnation was replaced. The agent refuses
@@ -172,9 +181,10 @@
 	Attempt int         `json:"attempt"`
 	State   RecordState `json:"state"`
 	Outcome TaskOutcome `json:"outcome"`
-	// StoppedByFence is true if the tombstone was created by the fence of the owner.
-	// Such a tombstone proves that the task never starts. After any other tombstone
-	// the owner may have placed the task on another agent.
+	// StoppedByFence is true if the tombstone was created by the fence of the owner and
+	// the attempt has certainly not started before. Such a tombstone proves that the task
+	// never starts. After any other tombstone the owner may have placed the task on another
+	// agent.
 	StoppedByFence bool `json:"stopped_by_fence,omitempty"`
 }
 
