--- a/internal/command/builder/status.go
+++ b/internal/command/builder/status.go
@@ -75,6 +75,14 @@
 	return cmd
 }
 
+// Version returns the version of the program, or "unknown".
+func Version() string {
+	if b := readBuild(); b.Version != "" {
+		return b.Version
+	}
+	return "unknown"
+}
+
 func readBuild() build {
 	info, ok := debug.ReadBuildInfo()
 	if !ok {
--- a/internal/command/platformstarter/platformstarter.go
+++ b/internal/command/platformstarter/platformstarter.go
@@ -3,10 +3,12 @@
 
 import (
 	"context"
+	"fmt"
 	"os"
 
 	"github.com/spf13/cobra"
 
+	"github.com/burdockrudder/burdockrudder/internal/command/builder"
 	"github.com/burdockrudder/burdockrudder/internal/settings/parser"
 	"github.com/burdockrudder/burdockrudder/platform"
 )
@@ -20,22 +22,24 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
+	root.Version = builder.Version()
 	root.AddCommand(entryCommand(reloads), agentCommand(reloads))
 	return root
 }
 
 func entryCommand(reloads <-chan os.Signal) *cobra.Command {
-	return roleCommand(reloads, "entry", "Run an entry: admit, place and answer", platform.EntryDefaults(), platform.RunEntry,
-		func(c platform.EntryConfig) platform.ProcessConfig { return c.Process })
+	return roleCommand(reloads, "entry", "Run an entry: admit, place and answer", platform.EntryDefaults(), (*platform.EntryConfig).ReadEnvironment,
+		platform.RunEntry, func(c platform.EntryConfig) platform.ProcessConfig { return c.Process })
 }
 
 func agentCommand(reloads <-chan os.Signal) *cobra.Command {
-	return roleCommand(reloads, "agent", "Run an agent beside an endpoint", platform.AgentDefaults(), platform.RunAgent,
-		func(c platform.AgentConfig) platform.ProcessConfig { return c.Process })
+	return roleCommand(reloads, "agent", "Run an agent beside an endpoint", platform.AgentDefaults(), (*platform.AgentConfig).ReadEnvironment,
+		platform.RunAgent, func(c platform.AgentConfig) platform.ProcessConfig { return c.Process })
 }
 
 func roleCommand[T any](
 	reloads <-chan os.Signal, use, short string, defaults T,
+	readEnvironment func(config *T, lookup func(string) string) error,
 	run func(context.Context, T, func(platform.Reload)) error,
 	process func(T) platform.ProcessConfig,
 ) *cobra.Command {
@@ -45,9 +49,12 @@
 		Short: short,
 		Args:  cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
+			if err := readEnvironment(&defaults, os.Getenv); err != nil {
+				return refusedSettings(err)
+			}
 			config, err := parser.ReadInto(path, defaults)
 			if err != nil {
-				return err
+				return refusedSettings(err)
 			}
 			w := &watcher{signals: reloads, load: func() (platform.ProcessConfig, error) {
 				changed, err := parser.ReadInto(path, defaults)
@@ -62,3 +69,9 @@
 	}
 	return command
 }
+
+// refusedSettings names the build in the error, since a program that is older than its settings
+// file doesn't know all of its keys.
+func refusedSettings(err error) error {
+	return fmt.Errorf("%w\nthe settings are refused by the program of build %s", err, builder.Version())
+}
