--- a/internal/command/builder/status.go
+++ b/internal/command/builder/status.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"os"
 	"runtime/debug"
 	"time"
 
@@ -75,12 +76,22 @@
 	return cmd
 }
 
-// Version returns the version of the program, or "unknown".
+// Version returns the version of the program and the time of its file. A build without access
+// to the version control system states no revision.
 func Version() string {
-	if b := readBuild(); b.Version != "" {
-		return b.Version
+	version := readBuild().Version
+	if version == "" {
+		version = "unknown"
 	}
-	return "unknown"
+	path, err := os.Executable()
+	if err != nil {
+		return version
+	}
+	info, err := os.Stat(path)
+	if err != nil {
+		return version
+	}
+	return version + ", file of " + info.ModTime().UTC().Format(time.RFC3339)
 }
 
 func readBuild() build {
