agent: the answer to a cancel rests on the attempt that its sender names

A cancel from one owner while the record is another owner's tombstone was answered by that record's proof. Entries of an earlier build do not mark the cancels of volatile tasks, so that such records can meet during a rolling update. Found by reading; no run shows it.

--- a/internal/dispatch/gatekeeper/results.go
+++ b/internal/dispatch/gatekeeper/results.go
@@ -82,7 +82,7 @@
 		s.dequeue(r)
 		s.tombstone(r, true)
 	}
-	s.answerCancel(from, m, r.state, r.neverStarted())
+	s.answerCancel(from, m, r.state)
 	if r.volatile && r.owner == from && r.state == messenger.RecordRunning {
 		s.abort(r, "cancelled by the owner")
 	}
@@ -94,7 +94,7 @@
 // tombstoneCancelled records a tombstone for a cancelled attempt that has no record. Earlier
 // is the record of the task, or nil.
 func (s *State) tombstoneCancelled(from messenger.Incarnation, m messenger.Cancel, earlier *record) *record {
-	proven := s.isUnstarted(m.Task, attemptKey{from, m.Attempt}, m.ReportSequence, m.Volatile)
+	proven := s.cancelProvesNeverStarted(from, m)
 	r := &record{task: m.Task, attempt: m.Attempt, owner: from, volatile: m.Volatile}
 	if earlier != nil {
 		r.inherit(earlier)
@@ -111,16 +111,16 @@
 	key := attemptKey{from, m.Attempt}
 	for _, r := range s.live {
 		if r.task == m.Task && r.key() == key {
-			s.answerCancel(from, m, messenger.RecordRunning, false)
+			s.answerCancel(from, m, messenger.RecordRunning)
 			return
 		}
 	}
-	proven := s.isUnstarted(m.Task, key, m.ReportSequence, m.Volatile)
-	s.refuseCopies(other, key, proven)
-	s.answerCancel(from, m, messenger.RecordTombstoned, proven)
+	s.refuseCopies(other, key, s.cancelProvesNeverStarted(from, m))
+	s.answerCancel(from, m, messenger.RecordTombstoned)
 }
 
-func (s *State) answerCancel(to messenger.Incarnation, m messenger.Cancel, state messenger.RecordState, proven bool) {
+func (s *State) answerCancel(to messenger.Incarnation, m messenger.Cancel, state messenger.RecordState) {
+	proven := s.cancelProvesNeverStarted(to, m)
 	if state == messenger.RecordTombstoned && !proven {
 		s.emitDecision(Decision{
 			Task: m.Task, Attempt: m.Attempt, Owner: to, Cancelled: true,
@@ -133,6 +133,12 @@
 	})
 }
 
+// cancelProvesNeverStarted reports whether it is certain that the attempt that an owner cancels
+// has not started here.
+func (s *State) cancelProvesNeverStarted(owner messenger.Incarnation, m messenger.Cancel) bool {
+	return s.isUnstarted(m.Task, attemptKey{owner, m.Attempt}, m.ReportSequence, m.Volatile)
+}
+
 func (s *State) expire() {
 	for len(s.expiring) > 0 && !s.expiring[0].at.After(s.now) {
 		old := s.expiring[0]
