guard: leave room for the program's file and for collections on small machines

Cause: the runtime's limit was 0.75 of the memory. Of 64 MB that leaves 16 MB beside it, and 22 MB of the program's file are resident. The limit of 48 MB was never reached either: in a trace of pipelined requests the collector's goal was 24 to 31 MB, and the heap grew up to 36 MB while a collection ran.

Change: the limit is at most the memory less 24 MiB for the file and 12 MiB for what is allocated during a collection.

--- a/internal/edge/guard/settings.go
+++ b/internal/edge/guard/settings.go
@@ -20,10 +20,14 @@
 	// connectionShare is the share of the budget that connections may take if their
 	// maximum is derived from it. The rest is for headers and bodies.
 	connectionShare = 0.5
-	// runtimeShare is the share of the machine's memory for the heap and the stacks. The
-	// rest is for the program's text, of about 20 MB, and for what the collector has not
-	// yet returned.
+	// runtimeShare is the largest share of the machine's memory for the heap and the stacks. The
+	// rest is for the program's file and for what the collector has not yet returned.
 	runtimeShare = 0.75
+	// programBytes is the resident part of the program's file, which the runtime's limit does
+	// not include.
+	programBytes = 24 << 20
+	// collectionBytes is what is allocated beyond the limit while a collection runs.
+	collectionBytes = 12 << 20
 )
 
 // Settings is the section "guard" of a settings file.
@@ -161,6 +165,11 @@
 // the machine, because the runtime exceeds a soft limit rather than fail.
 func (s *Settings) ApplyMemoryLimit() {
 	if s.MemoryBytes > 0 {
-		debug.SetMemoryLimit(int64(float64(s.MemoryBytes) * runtimeShare))
+		debug.SetMemoryLimit(s.runtimeLimit())
 	}
 }
+
+// runtimeLimit returns the memory for the heap and the stacks.
+func (s *Settings) runtimeLimit() int64 {
+	return min(int64(float64(s.MemoryBytes)*runtimeShare), s.MemoryBytes-programBytes-collectionBytes)
+}
--- a/internal/edge/guard/settings_test.go
+++ b/internal/edge/guard/settings_test.go
@@ -57,3 +57,24 @@
 		}
 	}
 }
+
+// Guards against a limit of the runtime beside which the program's file and what is allocated
+// during a collection do not fit into the memory of a small machine, as in the crowd tests, and
+// against a needlessly low limit on large machines.
+func TestRuntimeLimit(t *testing.T) {
+	for _, scenario := range []struct{ memory, want int64 }{
+		{memory: 64e6, want: 26_251_264},
+		{memory: 128e6, want: 90_251_264},
+		{memory: 152e6, want: 114e6},
+		{memory: 284e6, want: 213e6},
+	} {
+		settings := Settings{MemoryBytes: scenario.memory}
+		if got := settings.runtimeLimit(); got != scenario.want {
+			t.Errorf("limit %d of %d", got, scenario.memory)
+		}
+	}
+	smallest := Settings{MemoryBytes: minMemoryBytes}
+	if got := smallest.runtimeLimit(); got < 8<<20 {
+		t.Errorf("limit %d of the smallest machine", got)
+	}
+}
